--- a/brain/example_test.go
+++ b/brain/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"weldwalk/brain"
+	"sumacloft/brain"
 )
 
 // A request is read at a reader, written at a writer and streams to its client.
--- a/cmd/simhost/host.go
+++ b/cmd/simhost/host.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
-	"weldwalk/brain"
-	"weldwalk/internal/wire"
+	"sumacloft/brain"
+	"sumacloft/internal/config"
+	"sumacloft/internal/wire"
 )
 
 // host holds the instances of this process. They share nothing but the reply that they are written to.
@@ -29,7 +29,7 @@
 	at, selected := uint32(0), false
 	for i := range b.Events {
 		ev := &b.Events[i]
-		actions, err := h.event(duration(b.NowMs), ev)
+		actions, err := h.event(config.Millis(b.NowMs), ev)
 		if err != nil {
 			return err
 		}
@@ -79,11 +79,11 @@
 }
 
 func (h *host) provision(ev *wire.Event) error {
-	s, err := wire.ParseSettings(ev.Settings)
+	s, err := config.ParseSettings(ev.Settings)
 	if err != nil {
 		return err
 	}
-	set, err := settings(s)
+	set, err := s.Brain()
 	if err != nil {
 		return err
 	}
@@ -117,8 +117,4 @@
 	}
 }
 
-func duration(ms float64) time.Duration {
-	return time.Duration(math.Round(ms*1e3)) * time.Microsecond
-}
-
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -9,7 +9,7 @@
 	"io"
 	"os"
 
-	"weldwalk/internal/wire"
+	"sumacloft/internal/wire"
 )
 
 func main() {
--- a/cmd/simhost/translate.go
+++ b/cmd/simhost/translate.go
@@ -1,10 +1,9 @@
 package main
 
 import (
-	"fmt"
-
-	"weldwalk/brain"
-	"weldwalk/internal/wire"
+	"sumacloft/brain"
+	"sumacloft/internal/config"
+	"sumacloft/internal/wire"
 )
 
 // field puts one value of a report where the scheduler looks for it.
@@ -26,11 +25,6 @@
 }
 
 var (
-	effects = map[string]brain.Effect{"": brain.Safe, "read_like": brain.Safe, "idempotency_key": brain.Keyed,
-		"non_idempotent": brain.Unsafe}
-	scopes = map[string]brain.Scope{"": brain.ScopeAll, "all": brain.ScopeAll, "zone": brain.ScopeZone,
-		"cell": brain.ScopeCell}
-	roles     = map[string]brain.Role{"read": brain.Reader, "write": brain.Writer, "both": brain.Mixed}
 	listKinds = [...]brain.ListKind{brain.ListFailed, brain.ListWhole, brain.ListCached, brain.ListDelta}
 	results   = map[uint16]brain.Result{
 		wire.OutcomeOK: brain.Served, wire.OutcomeMiss: brain.Read, wire.OutcomeError: brain.Errored,
@@ -43,49 +37,6 @@
 // flagHint is the bit of an Accept's bitmap that says that its estimate is valid.
 const flagHint = 1
 
-func settings(s wire.Settings) (brain.Settings, error) {
-	out := brain.Settings{
-		Zone: s.Locality, MaxAttempts: s.Bounds.MostTries,
-		MaxHoldOff: duration(s.Bounds.MaxRetryAfterMs), HoldOff: s.Bounds.RetryAfter, Probing: s.Bounds.Probing,
-		Cancelling: s.Bounds.Cancelling, WritersRead: s.Family.SelfPrefill,
-		AskForList:    s.Registry == "subscribe",
-		ReportsProbed: s.Report.Via == "answers" || s.Report.Via == "probe",
-		Step:          duration(s.StepMs), PinLimit: duration(s.Family.PinLimitMs),
-		AskWithin: duration(s.Invariants.AskWithinMs),
-		ColdShare: s.Invariants.ColdFrom, WarmAfter: duration(s.Invariants.RampTimeMs),
-		OverloadRatio: s.Invariants.FallMultiple, OverloadFor: duration(s.Invariants.FallMs),
-	}
-	for i, c := range s.Classes {
-		effect, okEffect := effects[c.Effect]
-		scope, okScope := scopes[c.Group]
-		if !okEffect || !okScope {
-			return out, fmt.Errorf("settings: class %d has effect %q and group %q", i, c.Effect, c.Group)
-		}
-		out.Classes = append(out.Classes, brain.Class{
-			Aim: duration(c.AimMs), AimPer1kPrompt: duration(at(s.Family.AimPer1000, i) / 1e3),
-			Deadline: duration(c.DeadlineMs), Worth: c.Worth, Effect: effect, Scope: scope, RepeatWindow: duration(c.DedupWindowMs)})
-	}
-	for i := range max(len(s.Kinds), len(s.Family.KindRole)) {
-		kind := brain.Kind{Role: brain.Mixed, MemoryTokens: at(s.Family.KvTokens, i)}
-		if i < len(s.Family.KindRole) {
-			role, ok := roles[s.Family.KindRole[i]]
-			if !ok {
-				return out, fmt.Errorf("settings: kind %d has role %q", i, s.Family.KindRole[i])
-			}
-			kind.Role = role
-		}
-		out.Kinds = append(out.Kinds, kind)
-	}
-	return out, nil
-}
-
-func at(values []float64, i int) float64 {
-	if i < len(values) {
-		return values[i]
-	}
-	return 0
-}
-
 // translate returns nil for what the scheduler has no use for.
 func (in *instance) translate(ev *wire.Event) brain.Event {
 	call, engine := brain.RequestID(ev.Call), brain.EngineID(ev.Engine)
@@ -95,10 +46,10 @@
 	case wire.EvAccept:
 		return in.arrived(ev)
 	case wire.EvAccepted:
-		return brain.Started{Request: call, Attempt: ev.Trial, Engine: engine, Took: duration(ev.TookMs)}
+		return brain.Started{Request: call, Attempt: ev.Trial, Engine: engine, Took: config.Millis(ev.TookMs)}
 	case wire.EvCompleted:
 		e := brain.Ended{Request: call, Attempt: ev.Trial, Engine: engine, Result: results[ev.How],
-			Took: duration(ev.TookMs), Last: ev.Last, Load: in.load(ev.Report)}
+			Took: config.Millis(ev.TookMs), Last: ev.Last, Load: in.load(ev.Report)}
 		if e.Result == brain.Full {
 			e.NoState = ev.Note == 1
 		} else {
@@ -110,7 +61,7 @@
 	case wire.EvElapsed:
 		return brain.TimerFired{Key: ev.Token}
 	case wire.EvProbeDone:
-		return brain.Probed{Engine: engine, Result: results[ev.How], Took: duration(ev.TookMs),
+		return brain.Probed{Engine: engine, Result: results[ev.How], Took: config.Millis(ev.TookMs),
 			Load: in.load(ev.Report)}
 	}
 	return nil
@@ -118,8 +69,8 @@
 
 func (in *instance) arrived(ev *wire.Event) brain.Event {
 	a := brain.Arrived{Request: brain.RequestID(ev.Call), Class: ev.Class, Session: ev.Session, Prefix: ev.Prefix,
-		PromptTokens: ev.Prompt, PrefixTokens: ev.PrefixLen, MaxTokens: ev.MaxTokens, Left: duration(ev.GraceMs)}
-	if aim := at(in.tokenAimMs, ev.Class); ev.Flags&flagHint != 0 && aim > 0 {
+		PromptTokens: ev.Prompt, PrefixTokens: ev.PrefixLen, MaxTokens: ev.MaxTokens, Left: config.Millis(ev.GraceMs)}
+	if aim := in.tokenAim(ev.Class); ev.Flags&flagHint != 0 && aim > 0 {
 		a.HintTokens = ev.EstimateMs / aim
 	}
 	return a
@@ -129,7 +80,7 @@
 	out := brain.Listed{Kind: listKinds[ev.ListKind], Engines: make([]brain.Engine, len(ev.Entries))}
 	for i, e := range ev.Entries {
 		out.Engines[i] = brain.Engine{ID: brain.EngineID(e.Engine), Zone: e.Zone, Cell: e.Cell, Kind: e.Kind,
-			Availability: brain.Availability(e.Availability), Weight: e.Weight, StartedAt: duration(e.CameUpMs)}
+			Availability: brain.Availability(e.Availability), Weight: e.Weight, StartedAt: config.Millis(e.CameUpMs)}
 	}
 	return out
 }
@@ -143,3 +94,11 @@
 	}
 	return l
 }
+
+// tokenAim is the class's aim for the time between tokens, 0 where there is none.
+func (in *instance) tokenAim(class int) float64 {
+	if class < len(in.tokenAimMs) {
+		return in.tokenAimMs[class]
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,117 @@
+// Package config is the one place where configuration is read, checked and given its defaults: the platform's
+// variables and JSON, its settings object, and the operator's TOML. Errors name the key that is at fault.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"sumacloft/internal/discovery"
+)
+
+// Config is what a router on the platform is told.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Limits    Limits
+	Known     discovery.List
+	Settings  Settings
+}
+
+// Limits of the machine.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// The smallest machine that the platform runs routers on; it stands in for limits that are not given.
+var defaultLimits = Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}
+
+// minSockets is what a router needs to serve at all.
+const minSockets = 64
+
+// Platform reads the configuration that the platform's variables name. A variable that is set goes before the
+// same value in the file.
+func Platform(getenv func(string) string) (Config, error) {
+	path := getenv("PROXY_CONFIG")
+	if path == "" {
+		return Config{}, fmt.Errorf("PROXY_CONFIG: not set")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("PROXY_CONFIG: %w", err)
+	}
+	var file struct {
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		Seed      string          `json:"seed"`
+		Limits    Limits          `json:"limits"`
+		Known     discovery.List  `json:"known"`
+		Settings  json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(data, &file); err != nil {
+		return Config{}, fmt.Errorf("PROXY_CONFIG: %s: %w", path, err)
+	}
+	c := Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits, Known: file.Known}
+	for key, to := range map[string]*string{"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery} {
+		if v := getenv(key); v != "" {
+			*to = v
+		}
+	}
+	if err := address("listen", c.Listen); err != nil {
+		return Config{}, err
+	}
+	if err := address("discovery", c.Discovery); err != nil {
+		return Config{}, err
+	}
+	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+		return Config{}, fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", file.Seed)
+	}
+	if len(file.Settings) == 0 {
+		return Config{}, fmt.Errorf("settings: missing")
+	}
+	if c.Settings, err = ParseSettings(file.Settings); err != nil {
+		return Config{}, err
+	}
+	return c, c.Limits.fill()
+}
+
+// fill puts defaults in the place of what is not given and checks the rest.
+func (l *Limits) fill() error {
+	if l.Cores == 0 {
+		l.Cores = defaultLimits.Cores
+	}
+	if l.MemoryMB == 0 {
+		l.MemoryMB = defaultLimits.MemoryMB
+	}
+	if l.Sockets == 0 {
+		l.Sockets = defaultLimits.Sockets
+	}
+	switch {
+	case l.Cores < 0:
+		return fmt.Errorf("limits.cores: %g, must be positive", l.Cores)
+	case l.MemoryMB < 0:
+		return fmt.Errorf("limits.memory_mb: %d, must be positive", l.MemoryMB)
+	case l.Sockets < minSockets:
+		return fmt.Errorf("limits.sockets: %d, at least %d", l.Sockets, minSockets)
+	}
+	return nil
+}
+
+// address checks a host and port.
+func address(key, value string) error {
+	if value == "" {
+		return fmt.Errorf("%s: missing", key)
+	}
+	if _, _, err := net.SplitHostPort(value); err != nil {
+		return fmt.Errorf("%s: %q is not host:port", key, value)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,70 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestSettings(t *testing.T) {
+	s, err := ParseSettings([]byte(`{"balancers": 2, "later": {"x": [1]}, "familyInfo": {"pinLimitMs": 500.0}}`))
+	if err != nil || s.Balancers != 2 || s.Family.PinLimitMs != 500 || s.Registry != "automatic" {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	for _, bad := range []string{"", "{", `{"balancers": "two"}`, `{"balancers": 0}`, "[]"} {
+		if _, err := ParseSettings([]byte(bad)); err == nil {
+			t.Errorf("%q was accepted", bad)
+		}
+	}
+}
+
+func FuzzParseSettings(f *testing.F) {
+	f.Add([]byte(`{"balancers": 2, "kinds": ["a"], "familyInfo": {"kindRole": ["read", "write"]}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if s, err := ParseSettings(data); err == nil {
+			_, _ = s.Brain() // must not panic
+		}
+	})
+}
+
+const whole = `{"name":"n1","listen":"127.0.0.1:3000","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964",
+	"limits":{"memory_mb":128},"known":{"revision":4,"members":[{"id":"s-1"}]},"settings":{"stepMs":4}}`
+
+// The messages must name the key that is at fault, or an operator has to guess.
+func TestPlatform(t *testing.T) {
+	for name, c := range map[string]struct {
+		file, fault string
+		env         map[string]string
+	}{
+		"whole":         {file: whole},
+		"no file":       {fault: "PROXY_CONFIG"},
+		"not JSON":      {file: "{", fault: "PROXY_CONFIG"},
+		"listen":        {file: strings.Replace(whole, "127.0.0.1:3000", "here", 1), fault: "listen"},
+		"discovery":     {file: strings.Replace(whole, "127.0.0.2:8500", "", 1), fault: "discovery"},
+		"seed":          {file: strings.Replace(whole, "8c1f", "zz", 1), fault: "seed"},
+		"settings":      {file: strings.Replace(whole, `"settings"`, `"other"`, 1), fault: "settings"},
+		"memory":        {file: strings.Replace(whole, "128", "-1", 1), fault: "limits.memory_mb"},
+		"from variable": {file: strings.Replace(whole, "127.0.0.1:3000", "here", 1), env: map[string]string{"PROXY_LISTEN": "127.0.0.1:1"}},
+	} {
+		path := filepath.Join(t.TempDir(), "config.json")
+		if c.file != "" {
+			if err := os.WriteFile(path, []byte(c.file), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		cfg, err := Platform(func(key string) string {
+			if key == "PROXY_CONFIG" {
+				return path
+			}
+			return c.env[key]
+		})
+		if c.fault == "" {
+			if err != nil || cfg.Limits.Sockets != 1024 || cfg.Limits.MemoryMB != 128 || cfg.Known.Revision != 4 || cfg.Seed != 0x8c1f30d27a5be964 {
+				t.Errorf("%s: %+v, %v", name, cfg, err)
+			}
+		} else if err == nil || !strings.HasPrefix(err.Error(), c.fault+":") {
+			t.Errorf("%s: error %v, must begin with %s", name, err, c.fault)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/attempt.go
@@ -0,0 +1,84 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"sumacloft/brain"
+)
+
+// Stage is how far an attempt came.
+type Stage uint8
+
+// The stages of an attempt, in their order. Before Written the worker can't have the whole request, so it has
+// never run; from Written on it may have, whatever else is known.
+const (
+	NotConnected Stage = iota
+	PartlyWritten
+	Written   // to the last byte
+	Head      // of the answer has come
+	Streaming // events have been passed on
+)
+
+func (s Stage) String() string {
+	return [...]string{"not connected", "partly written", "written", "head", "streaming"}[s]
+}
+
+// Verdict is a worker's own word on a request that it did not serve.
+type Verdict uint8
+
+// The verdicts.
+const (
+	NoVerdict  Verdict = iota // the attempt broke, or the answer says nothing certain
+	TurnedAway                // and never started
+	StateGone                 // never started: there was no state to fetch
+	Faulted                   // an error; it may have run
+)
+
+// AttemptError is how an attempt failed. It is a value to be judged, not only to be shown.
+type AttemptError struct {
+	Stage   Stage
+	Verdict Verdict
+	Err     error
+}
+
+func (e *AttemptError) Error() string { return fmt.Sprintf("attempt failed (%v): %v", e.Stage, e.Err) }
+
+// Unwrap gives the cause.
+func (e *AttemptError) Unwrap() error { return e.Err }
+
+// Why an attempt was given up by this router.
+var (
+	ErrCalledOff = errors.New("called off")
+	ErrNotReady  = errors.New("the worker drains or is gone")
+	ErrExpired   = errors.New("time is up")
+)
+
+// result is the one place where the fate of an attempt becomes the module's word for it. What is unclear is
+// taken as maybe run.
+func result(err error) (r brain.Result, noState bool) {
+	var e *AttemptError
+	if !errors.As(err, &e) {
+		return brain.Broke, false
+	}
+	withdrawn := errors.Is(e.Err, ErrCalledOff) || errors.Is(e.Err, ErrNotReady) || errors.Is(e.Err, context.Canceled)
+	late := errors.Is(e.Err, ErrExpired) || errors.Is(e.Err, context.DeadlineExceeded)
+	switch {
+	case e.Verdict == TurnedAway:
+		return brain.Full, false
+	case e.Verdict == StateGone:
+		return brain.Full, true
+	case e.Verdict == Faulted:
+		return brain.Errored, false
+	case e.Stage < Written && withdrawn:
+		return brain.Moot, false // our doing: no word on the worker
+	case e.Stage < Written:
+		return brain.ConnectFailed, false
+	case withdrawn:
+		return brain.Cancelled, false
+	case late:
+		return brain.TimedOut, false
+	}
+	return brain.Broke, false
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,230 @@
+// Package core carries requests through the decision module: it knows requests, attempts and outcomes, and no
+// wire. It owns the module's Scheduler behind one lock, the clock, the timers, and a mailbox for each request,
+// into which the module's actions go; nothing waits or does I/O under the lock.
+package core
+
+import (
+	"container/heap"
+	"context"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sumacloft/brain"
+)
+
+// Worker is one entry of the list of workers.
+type Worker struct {
+	brain.Engine
+	Name, Addr string
+}
+
+// Stream is the answer of a worker that has begun.
+type Stream interface {
+	// Next gives the next bytes as they came. io.EOF, and nothing else, says that the answer is whole.
+	Next() ([]byte, error)
+	// Close gives the answer up, or does nothing after its end. It may be called while Next waits.
+	Close()
+}
+
+// Reply is what a worker answered: a Stream, or the word that the prompt has been read.
+type Reply struct {
+	Stream Stream
+	Kept   float64 // prompt tokens that the reader found kept; where Stream is nil
+}
+
+// Job is one request as its front took it: what the module must know, and how it is sent to a worker.
+type Job interface {
+	// Arrival describes the request; the core gives it its id.
+	Arrival() brain.Arrived
+	// Try sends the request to a worker. Just before it writes anything it asks clear, also after a slow dial,
+	// and ends with that error if there is one. Every error is an *AttemptError.
+	Try(ctx context.Context, w Worker, clear func() error) (Reply, error)
+	// Release lets go, at whatever worker, of all that is held for the request.
+	Release(ctx context.Context, w Worker) error
+}
+
+// Client is the receiving end of one request. It gets exactly one of Refuse, Fail, Finish and Break, unless it
+// has left.
+type Client interface {
+	Refuse(holdOff time.Duration) // trying again is harmless
+	Fail()                        // nothing is promised: it may have run
+	Pass(events []byte) error
+	Finish() // the stream was whole
+	Break()  // it was not: the client must be able to tell
+}
+
+// Prober tests a worker as the module asks.
+type Prober interface {
+	Probe(ctx context.Context, w Worker) error
+}
+
+// Core routes requests. Use New, then Run.
+type Core struct {
+	log    logrus.FieldLogger
+	prober Prober
+	zero   time.Time
+	unix   time.Duration // of zero
+
+	mu       sync.Mutex
+	sched    *brain.Scheduler
+	actions  []brain.Action
+	workers  map[brain.EngineID]*Worker
+	requests map[brain.RequestID]*request
+	lastID   brain.RequestID
+	timers   timerHeap
+	sooner   chan struct{} // the first timer has changed
+}
+
+// New makes a core. The seed settles the module's draws.
+func New(set brain.Settings, seed uint64, prober Prober, log logrus.FieldLogger) *Core {
+	now := time.Now()
+	return &Core{log: log, prober: prober, zero: now, unix: time.Duration(now.UnixNano()),
+		sched: brain.New(set, seed), workers: map[brain.EngineID]*Worker{},
+		requests: map[brain.RequestID]*request{}, sooner: make(chan struct{}, 1)}
+}
+
+// now is the time by the monotonic clock, counted like Unix time so that discovery's times compare with it.
+func (c *Core) now() time.Duration { return c.unix + time.Since(c.zero) }
+
+// Listed brings news of the workers.
+func (c *Core) Listed(kind brain.ListKind, list []Worker) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	engines := make([]brain.Engine, len(list))
+	named := make(map[brain.EngineID]bool, len(list))
+	for i, w := range list {
+		engines[i], named[w.ID] = w.Engine, true
+		c.workers[w.ID] = &w
+	}
+	for id, w := range c.workers {
+		if w.Availability == brain.Removed || (kind != brain.ListDelta && !named[id]) {
+			delete(c.workers, id)
+		}
+	}
+	c.handle(brain.Listed{Kind: kind, Engines: engines})
+}
+
+// handle hands one event to the module and carries out what comes back. The lock is held. A panic of the
+// module ends there: what it should have decided is left to the deadline of the request.
+func (c *Core) handle(ev brain.Event) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.log.WithField("event", ev).Errorf("the module panicked: %v\n%s", p, debug.Stack())
+		}
+	}()
+	c.actions = c.sched.Handle(c.now(), ev, c.actions[:0])
+	for _, action := range c.actions {
+		c.dispatch(action)
+	}
+}
+
+func (c *Core) dispatch(action brain.Action) {
+	switch a := action.(type) {
+	case brain.Send:
+		if r := c.requests[a.Request]; r != nil {
+			r.send(c, a)
+		}
+	case brain.Cancel:
+		if r := c.requests[a.Request]; r != nil && a.Attempt < len(r.attempts) {
+			r.attempts[a.Attempt].callOff()
+		}
+	case brain.Refuse:
+		if r := c.requests[a.Request]; r != nil {
+			r.end(a)
+		}
+	case brain.Fail:
+		if r := c.requests[a.Request]; r != nil {
+			r.end(a)
+		}
+	case brain.Release:
+		if r := c.requests[a.Request]; r != nil {
+			go c.release(r.job)
+		}
+	case brain.Probe:
+		if w := c.workers[a.Engine]; w != nil {
+			go c.probe(*w)
+		} else {
+			go c.tell(brain.Probed{Engine: a.Engine, Result: brain.ConnectFailed})
+		}
+	case brain.SetTimer:
+		heap.Push(&c.timers, a)
+		if c.timers[0] == a {
+			select {
+			case c.sooner <- struct{}{}:
+			default:
+			}
+		}
+	case brain.Log:
+		c.log.Info(a.Text)
+	}
+}
+
+// tell is handle for those who do not hold the lock.
+func (c *Core) tell(ev brain.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handle(ev)
+}
+
+// Run fires the module's timers until ctx ends.
+func (c *Core) Run(ctx context.Context) {
+	wait := time.NewTimer(time.Hour)
+	defer wait.Stop()
+	for {
+		wait.Reset(c.fire())
+		select {
+		case <-ctx.Done():
+			return
+		case <-wait.C:
+		case <-c.sooner:
+		}
+	}
+}
+
+// fire fires what is due and tells how long to wait for the next.
+func (c *Core) fire() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.timers) > 0 {
+		if left := c.timers[0].At - c.now(); left > 0 {
+			return left
+		}
+		c.handle(brain.TimerFired{Key: heap.Pop(&c.timers).(brain.SetTimer).Key})
+	}
+	return time.Hour
+}
+
+// probeLimit is how long a probe is waited for.
+const probeLimit = 250 * time.Millisecond
+
+func (c *Core) probe(w Worker) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
+	defer cancel()
+	began := time.Now()
+	out := brain.Probed{Engine: w.ID}
+	if err := c.prober.Probe(ctx, w); err != nil {
+		out.Result, _ = result(err)
+	}
+	out.Took = time.Since(began)
+	c.tell(out)
+}
+
+// Timers of one time fire in the order in which they were set only by chance; the module does not depend on it.
+type timerHeap []brain.SetTimer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].At < h[j].At }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push adds a timer; it serves container/heap.
+func (h *timerHeap) Push(x any) { *h = append(*h, x.(brain.SetTimer)) }
+
+// Pop removes the last; it serves container/heap.
+func (h *timerHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
--- /dev/null
+++ b/internal/core/request.go
@@ -0,0 +1,325 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"runtime/debug"
+	"time"
+
+	"sumacloft/brain"
+)
+
+// request is one request between its arrival and the end of its last attempt. The core's lock guards it.
+type request struct {
+	id       brain.RequestID
+	job      Job
+	deadline time.Time
+	mail     []any // *attempt to start, *begun, brain.Refuse or brain.Fail, in order
+	wake     chan struct{}
+	attempts []*attempt
+	out      int // attempts whose end the module has not been told
+	decided  bool
+	left     bool // its task has ended: nothing reads the mail
+}
+
+// attempt is one sending of a request to a worker.
+type attempt struct {
+	number  int
+	worker  Worker
+	sent    time.Time
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	off     bool // called off, or never to be started
+	started bool
+}
+
+// begun is an attempt whose answer has begun.
+type begun struct {
+	*attempt
+	stream Stream
+}
+
+// Do is the life of one request, from its arrival to its final answer: it waits for what the module decides and
+// does it. ctx ends when the client has left.
+func (c *Core) Do(ctx context.Context, job Job, client Client) {
+	r := c.arrive(job)
+	defer c.leave(r)
+	for {
+		switch m := c.next(ctx, r).(type) {
+		case *attempt: // the module has chosen a worker; what comes of it is told by the attempt itself
+			go c.try(r, m)
+		case *begun: // from here on the request belongs to this attempt
+			c.relay(ctx, r, m, client)
+			return
+		case brain.Refuse:
+			client.Refuse(m.HoldOff)
+			return
+		case brain.Fail:
+			client.Fail()
+			return
+		case nil:
+			c.tell(brain.Gone{Request: r.id})
+			return
+		}
+	}
+}
+
+func (c *Core) arrive(job Job) *request {
+	arrived := job.Arrival()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastID++
+	arrived.Request = c.lastID
+	r := &request{id: c.lastID, job: job, deadline: time.Now().Add(arrived.Left), wake: make(chan struct{}, 1)}
+	c.requests[r.id] = r
+	c.handle(arrived)
+	return r
+}
+
+// next waits for the next piece of mail; nil says that the client has left. Should the module not have decided
+// by the deadline, which only a fault of its own can cause, the request fails here: an answer is owed.
+func (c *Core) next(ctx context.Context, r *request) any {
+	overdue := time.NewTimer(time.Until(r.deadline))
+	defer overdue.Stop()
+	for {
+		c.mu.Lock()
+		if len(r.mail) > 0 {
+			m := r.mail[0]
+			r.mail = r.mail[1:]
+			c.mu.Unlock()
+			return m
+		}
+		c.mu.Unlock()
+		select {
+		case <-r.wake:
+		case <-ctx.Done():
+			return nil
+		case <-overdue.C:
+			c.overdue(r)
+		}
+	}
+}
+
+func (c *Core) overdue(r *request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !r.decided {
+		c.log.WithField("request", r.id).Error("the module did not decide in time")
+		r.end(brain.Fail{Request: r.id})
+		c.handle(brain.Gone{Request: r.id})
+	}
+}
+
+// post puts something into the mailbox. The lock is held.
+func (r *request) post(m any) {
+	r.mail = append(r.mail, m)
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// end takes the final answer, once.
+func (r *request) end(answer brain.Action) {
+	if !r.decided {
+		r.decided = true
+		r.post(answer)
+	}
+}
+
+// send opens the next attempt. One that can no longer be made is reported as never sent, since each Send has
+// exactly one end; not from here, for the module is at work.
+func (r *request) send(c *Core, s brain.Send) {
+	a := &attempt{number: len(r.attempts), sent: time.Now()}
+	a.worker.ID = s.Engine
+	limit := r.deadline
+	if s.Timeout > 0 && a.sent.Add(s.Timeout).Before(limit) {
+		limit = a.sent.Add(s.Timeout)
+	}
+	ctx, stop := context.WithDeadlineCause(context.Background(), limit, ErrExpired)
+	ctx, cancel := context.WithCancelCause(ctx)
+	a.ctx, a.cancel = ctx, func(cause error) { cancel(cause); stop() }
+	r.attempts = append(r.attempts, a)
+	r.out++
+	w := c.workers[s.Engine]
+	if w == nil || r.left || r.decided {
+		go c.ended(r, a, brain.Ended{Result: brain.Moot})
+		return
+	}
+	a.worker = *w
+	r.post(a)
+}
+
+func (a *attempt) callOff() {
+	if !a.started {
+		a.off = true
+		a.cancel(ErrCalledOff)
+	}
+}
+
+// try makes one attempt and reports its end, or hands on the answer that begins. A panic ends here, as an
+// attempt that may have run.
+func (c *Core) try(r *request, a *attempt) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.log.Errorf("an attempt panicked: %v\n%s", p, debug.Stack())
+			c.ended(r, a, brain.Ended{Result: brain.Broke})
+		}
+	}()
+	reply, err := r.job.Try(a.ctx, a.worker, func() error { return c.clear(a) })
+	switch {
+	case err != nil:
+		e := brain.Ended{}
+		e.Result, e.NoState = result(err)
+		c.log.WithFields(logFields(r, a)).WithError(err).Debug("attempt ended")
+		c.ended(r, a, e)
+	case reply.Stream == nil:
+		c.ended(r, a, brain.Ended{Result: brain.Read, Kept: reply.Kept})
+	case !c.begin(r, a, reply.Stream):
+		reply.Stream.Close()
+		c.ended(r, a, brain.Ended{Result: brain.Cancelled})
+	}
+}
+
+func logFields(r *request, a *attempt) map[string]any {
+	return map[string]any{"request": r.id, "attempt": a.number, "worker": a.worker.Name}
+}
+
+// clear is asked at the moment of writing: the list may have changed since the module chose, and a dial takes
+// its time. What reaches a worker long after its drain was told breaks a rule.
+func (c *Core) clear(a *attempt) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.off {
+		return ErrCalledOff
+	}
+	if w := c.workers[a.worker.ID]; w == nil || w.Availability != brain.Ready {
+		return ErrNotReady
+	}
+	return nil
+}
+
+// begin gives the request to the attempt whose answer has begun, unless it is over or the attempt was called
+// off: both are settled under the lock, so no client gets two answers.
+func (c *Core) begin(r *request, a *attempt, s Stream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.off || r.decided || r.left {
+		return false
+	}
+	a.started, r.decided = true, true
+	r.post(&begun{a, s})
+	c.handle(brain.Started{Request: r.id, Attempt: a.number, Engine: a.worker.ID, Took: time.Since(a.sent)})
+	return true
+}
+
+// relay passes the stream on to its end. No deadline runs, and nothing further is sent for the request.
+func (c *Core) relay(ctx context.Context, r *request, b *begun, client Client) {
+	stop := context.AfterFunc(ctx, b.stream.Close)
+	defer stop()
+	defer b.stream.Close()
+	for {
+		events, err := b.stream.Next()
+		if len(events) > 0 && client.Pass(events) != nil {
+			err = context.Canceled
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			c.ended(r, b.attempt, brain.Ended{Result: brain.Served, Last: true})
+			client.Finish()
+			return
+		case ctx.Err() != nil || errors.Is(err, context.Canceled):
+			c.tell(brain.Gone{Request: r.id})
+			c.ended(r, b.attempt, brain.Ended{Result: brain.Cancelled, Last: true})
+			client.Break()
+			return
+		default:
+			c.log.WithFields(logFields(r, b.attempt)).WithError(err).Info("a stream broke")
+			client.Break()
+			c.ended(r, b.attempt, brain.Ended{Result: brain.Broke, Last: true})
+			return
+		}
+	}
+}
+
+// ended tells the module the end of an attempt, once for each.
+func (c *Core) ended(r *request, a *attempt, e brain.Ended) {
+	a.cancel(nil)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e.Request, e.Attempt, e.Engine, e.Took = r.id, a.number, a.worker.ID, time.Since(a.sent)
+	r.out--
+	c.handle(e)
+	c.forget(r)
+}
+
+// leave ends the request's task. Attempts that it did not start never will be.
+func (c *Core) leave(r *request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r.left = true
+	for _, m := range r.mail {
+		switch m := m.(type) {
+		case *attempt:
+			go c.ended(r, m, brain.Ended{Result: brain.Moot})
+		case *begun: // it began as the client left
+			m.stream.Close()
+			go c.ended(r, m.attempt, brain.Ended{Result: brain.Cancelled, Last: true})
+		}
+	}
+	r.mail = nil
+	c.forget(r)
+}
+
+// forget drops a request that has its answer and no attempt out.
+func (c *Core) forget(r *request) {
+	if r.left && r.out == 0 {
+		delete(c.requests, r.id)
+	}
+}
+
+const (
+	// releaseTry is how long one worker is given to take a release, releaseLimit how long it is tried at all:
+	// what is held must be let go within 500 ms, and while connections fail to come up that time runs on.
+	releaseTry   = 120 * time.Millisecond
+	releaseLimit = 5 * time.Second
+	releasePause = 5 * time.Millisecond
+)
+
+// release lets go of what is held for a job: any worker may be told, so it asks one after the other until one
+// has taken it.
+func (c *Core) release(job Job) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
+	defer cancel()
+	for ctx.Err() == nil {
+		for _, w := range c.ready() {
+			try, done := context.WithTimeout(ctx, releaseTry)
+			err := job.Release(try, w)
+			done()
+			if err == nil || ctx.Err() != nil {
+				return
+			}
+			c.log.WithField("worker", w.Name).WithError(err).Debug("release not taken")
+		}
+		time.Sleep(releasePause)
+	}
+	c.log.Warn("a release found no worker")
+}
+
+// ready lists the workers that may be spoken to, in an order drawn anew: one that is silent must not be the
+// first that every release asks.
+func (c *Core) ready() []Worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]Worker, 0, len(c.workers))
+	for _, w := range c.workers {
+		if w.Availability == brain.Ready {
+			list = append(list, *w)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
--- /dev/null
+++ b/internal/platform/front.go
@@ -0,0 +1,220 @@
+// Package platform is the thin front for the platform's protocol and its calls to workers. Method, path, query,
+// body and the request's id go on as they came; only what the module needs is taken out of the headers.
+package platform
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"sumacloft/brain"
+	"sumacloft/internal/core"
+)
+
+const (
+	maxBody  = 256 << 10
+	bodyTime = 10 * time.Second // for a client to send its body
+	// writeTime is how long a client may take to accept some of its answer.
+	writeTime = 15 * time.Second
+	healthURL = "/_health"
+	maxID     = 64
+)
+
+// Front takes requests from clients. Its zero value is not ready: see New.
+type Front struct {
+	core    *core.Core
+	workers *Workers
+	class   func(name string) int
+	closing atomic.Bool
+}
+
+// New makes a front. class gives the place of a class by its name, or less than 0.
+func New(c *core.Core, w *Workers, class func(string) int) *Front {
+	return &Front{core: c, workers: w, class: class}
+}
+
+// Drain makes the health check fail and asks clients to leave after their next answer. Requests are taken and
+// answered as before.
+func (f *Front) Drain() { f.closing.Store(true) }
+
+// ServeHTTP answers the health check and passes everything else on.
+func (f *Front) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if f.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if req.URL.Path == healthURL {
+		if f.closing.Load() {
+			http.Error(w, "shutting down", http.StatusServiceUnavailable)
+		}
+		return
+	}
+	job, status, err := f.read(w, req)
+	if err != nil {
+		http.Error(w, err.Error(), status)
+		return
+	}
+	out := &client{w: w, rc: http.NewResponseController(w)}
+	f.core.Do(req.Context(), job, out)
+	if out.broken {
+		panic(http.ErrAbortHandler) // the server then closes the connection without the last chunk
+	}
+}
+
+// read takes out of a request what is needed. The status says whose fault an error is.
+func (f *Front) read(w http.ResponseWriter, req *http.Request) (*job, int, error) {
+	j := &job{workers: f.workers, id: req.Header.Get("Request-Id"), method: req.Method, uri: req.RequestURI,
+		host: req.Host, contentType: req.Header.Get("Content-Type")}
+	if !plain(j.id) {
+		return nil, http.StatusBadRequest, errors.New("Request-Id: missing or malformed")
+	}
+	if !strings.HasPrefix(j.uri, "/") {
+		return nil, http.StatusBadRequest, errors.New("the request's target is not a path")
+	}
+	a := &j.arrival
+	if a.Class = f.class(req.Header.Get("Request-Class")); a.Class < 0 {
+		return nil, http.StatusBadRequest, errors.New("Request-Class: missing or unknown")
+	}
+	var err error
+	if a.Left, err = timeout(req.Header.Get("Request-Timeout")); err != nil {
+		return nil, http.StatusBadRequest, err
+	}
+	if err := info(req.Header.Get("Request-Info"), a); err != nil {
+		return nil, http.StatusBadRequest, err
+	}
+	a.Session = key(req.Header.Get("Affinity-Key"))
+	rc := http.NewResponseController(w)
+	if err := rc.SetReadDeadline(time.Now().Add(bodyTime)); err != nil {
+		return nil, http.StatusInternalServerError, err
+	}
+	j.body, err = io.ReadAll(http.MaxBytesReader(w, req.Body, maxBody))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("the body is larger than %d bytes", maxBody)
+	case err != nil:
+		return nil, http.StatusBadRequest, errors.New("the body can't be read")
+	}
+	// The server goes on reading to see whether the client leaves; that must not run into the limit.
+	if err := rc.SetReadDeadline(time.Time{}); err != nil {
+		return nil, http.StatusInternalServerError, err
+	}
+	return j, 0, nil
+}
+
+// plain tells whether an id can stand in a path and a header as it is.
+func plain(id string) bool {
+	if id == "" || len(id) > maxID {
+		return false
+	}
+	for _, c := range []byte(id) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
+
+// maxTimeout bounds what a client can make the router wait.
+const maxTimeout = 10 * time.Minute
+
+// timeout reads a time such as 4800m (milliseconds) or 250000u (microseconds).
+func timeout(text string) (time.Duration, error) {
+	units := map[byte]time.Duration{'m': time.Millisecond, 'u': time.Microsecond}
+	if n := len(text); n > 1 {
+		v, err := strconv.ParseFloat(text[:n-1], 64)
+		if unit := units[text[n-1]]; err == nil && unit > 0 && v > 0 && v <= float64(maxTimeout/unit) {
+			return time.Duration(v * float64(unit)), nil
+		}
+	}
+	return 0, fmt.Errorf("Request-Timeout: %q is not a number with the unit m or u", text)
+}
+
+// maxTokens bounds the lengths that a client may state.
+const maxTokens = 1e9
+
+// info reads the lengths and the shared beginning. Fields that are not known are passed over.
+func info(text string, a *brain.Arrived) error {
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		var to *float64
+		switch name {
+		case "prefix":
+			a.Prefix = key(value)
+			continue
+		case "prompt_len":
+			to = &a.PromptTokens
+		case "prefix_len":
+			to = &a.PrefixTokens
+		case "max_out":
+			to = &a.MaxTokens
+		default:
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(v >= 0 && v <= maxTokens) {
+			return fmt.Errorf("Request-Info: %s is %q, not a length", name, value)
+		}
+		*to = v
+	}
+	return nil
+}
+
+// key turns a name into the module's number for it, the same at every router; 0 stands for none.
+func key(name string) uint64 {
+	if name == "" {
+		return 0
+	}
+	if v, err := strconv.ParseUint(name, 16, 64); err == nil {
+		return v
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // never fails
+	return h.Sum64()
+}
+
+// client is the answering side of a request.
+type client struct {
+	w       http.ResponseWriter
+	rc      *http.ResponseController
+	started bool
+	broken  bool
+}
+
+// Refuse says that trying again is harmless, and when.
+func (c *client) Refuse(holdOff time.Duration) {
+	if holdOff > 0 {
+		c.w.Header().Set("Retry-After", strconv.FormatFloat(holdOff.Seconds(), 'f', 3, 64))
+	}
+	http.Error(c.w, "refused", http.StatusServiceUnavailable)
+}
+
+// Fail promises nothing.
+func (c *client) Fail() { http.Error(c.w, "failed", http.StatusInternalServerError) }
+
+// Pass writes events as they came, at once.
+func (c *client) Pass(events []byte) error {
+	if !c.started {
+		c.started = true
+		c.w.Header().Set("Content-Type", "text/event-stream")
+		c.w.WriteHeader(http.StatusOK)
+	}
+	if err := c.rc.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+		return err
+	}
+	if _, err := c.w.Write(events); err != nil {
+		return err
+	}
+	return c.rc.Flush()
+}
+
+// Finish leaves the last chunk to the server.
+func (c *client) Finish() { _ = c.rc.SetWriteDeadline(time.Time{}) } // a connection gone by now is seen by the server
+
+// Break has the connection closed without the last chunk.
+func (c *client) Break() { c.broken = true }
--- /dev/null
+++ b/internal/platform/workers.go
@@ -0,0 +1,117 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sumacloft/brain"
+	"sumacloft/internal/core"
+	"sumacloft/internal/upstream"
+)
+
+const notStarted = "Not-Started"
+
+// Workers makes the protocol's calls to workers.
+type Workers struct{ pool *upstream.Pool }
+
+// NewWorkers makes the calls over the pool's connections.
+func NewWorkers(pool *upstream.Pool) *Workers { return &Workers{pool: pool} }
+
+// Probe asks for a sign of life.
+func (ws *Workers) Probe(ctx context.Context, w core.Worker) error {
+	return ws.bare(ctx, w, http.MethodGet, "/ping", http.StatusOK)
+}
+
+// bare makes a call without a body and wants one status.
+func (ws *Workers) bare(ctx context.Context, w core.Worker, method, path string, want int) error {
+	head := method + " " + path + " HTTP/1.1\r\nHost: " + w.Addr + "\r\n\r\n"
+	answer, err := ws.pool.Do(ctx, w.Addr, method, []byte(head), nil)
+	if err != nil {
+		return err
+	}
+	if _, err := answer.Small(); err != nil {
+		return err
+	}
+	if answer.StatusCode == want {
+		return nil
+	}
+	return refusal(answer)
+}
+
+// job is one client's request on its way to workers.
+type job struct {
+	workers     *Workers
+	arrival     brain.Arrived
+	id          string
+	method, uri string
+	host        string
+	contentType string
+	body        []byte
+}
+
+// Arrival serves core.Job. What the body took to come is not the client's wait, nor is it the module's.
+func (j *job) Arrival() brain.Arrived { return j.arrival }
+
+// Try serves core.Job.
+func (j *job) Try(ctx context.Context, w core.Worker, clear func() error) (core.Reply, error) {
+	answer, err := j.workers.pool.Do(ctx, w.Addr, j.method, j.bytes(ctx), clear)
+	if err != nil {
+		return core.Reply{}, err
+	}
+	if answer.StatusCode == http.StatusOK {
+		if err := answer.First(); err != nil {
+			return core.Reply{}, err
+		}
+		return core.Reply{Stream: answer}, nil
+	}
+	body, err := answer.Small()
+	if answer.StatusCode == http.StatusAccepted && err == nil {
+		var read struct {
+			Kept float64 `json:"cached_tokens"`
+		}
+		_ = json.Unmarshal(body, &read) // without a count the prompt has been read all the same
+		return core.Reply{Kept: read.Kept}, nil
+	}
+	if err != nil && answer.Header.Get(notStarted) != "1" {
+		return core.Reply{}, err
+	}
+	return core.Reply{}, refusal(answer)
+}
+
+// refusal reads an answer that serves nothing. Only the worker's own word that it did not start proves that.
+func refusal(answer *upstream.Answer) error {
+	e := &core.AttemptError{Stage: core.Head, Verdict: core.Faulted, Err: fmt.Errorf("status %d", answer.StatusCode)}
+	if answer.Header.Get(notStarted) == "1" {
+		switch answer.StatusCode {
+		case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+			e.Verdict = core.TurnedAway
+		case http.StatusGone:
+			e.Verdict = core.StateGone
+		}
+	}
+	return e
+}
+
+// bytes is the request as it goes to a worker, with the time that this attempt is waited for.
+func (j *job) bytes(ctx context.Context) []byte {
+	out := make([]byte, 0, 512+len(j.body))
+	out = append(out, j.method+" "+j.uri+" HTTP/1.1\r\nHost: "+j.host+"\r\nRequest-Id: "+j.id+"\r\n"...)
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(time.Until(deadline).Microseconds(), 1)
+		out = append(out, "Request-Timeout: "+strconv.FormatInt(left, 10)+"u\r\n"...)
+	}
+	if j.contentType != "" {
+		out = append(out, "Content-Type: "+j.contentType+"\r\n"...)
+	}
+	out = append(out, "Content-Length: "+strconv.Itoa(len(j.body))+"\r\n\r\n"...)
+	return append(out, j.body...)
+}
+
+// Release serves core.Job.
+func (j *job) Release(ctx context.Context, w core.Worker) error {
+	return j.workers.bare(ctx, w, http.MethodDelete, "/v1/holds/"+j.id, http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,161 @@
+package upstream
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"sumacloft/internal/core"
+)
+
+const (
+	// maxSmall bounds an answer that is read whole.
+	maxSmall = 64 << 10
+	// silentLimit is how long a stream that has begun may say nothing. A client kept waiting for 5 s is lost to
+	// the rules; one whose stream is broken off before that comes again for the rest.
+	silentLimit = 4500 * time.Millisecond
+	piece       = 16 << 10
+)
+
+// Answer is the answer to one exchange, from its head on. Read it to its end with Small or Next, or Close it.
+type Answer struct {
+	*http.Response
+	pool *Pool
+	conn *conn
+	stop func() bool // ends the watch on the exchange's context
+	ctx  context.Context
+	buf  []byte
+	kept []byte      // the first bytes of a stream, until Next has given them
+	done atomic.Bool // the connection has been given back or closed
+}
+
+// Do sends one request, given as its bytes, and waits for the head of the answer. clear, if not nil, is asked
+// once a connection is there and before anything is written. Errors are *core.AttemptError; ctx's cause is
+// among what they wrap when that ended the exchange.
+func (p *Pool) Do(ctx context.Context, addr, method string, request []byte, clear func() error) (*Answer, error) {
+	fail := func(stage core.Stage, err error) (*Answer, error) {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		return nil, &core.AttemptError{Stage: stage, Err: err}
+	}
+	c, err := p.get(ctx, addr)
+	if err != nil {
+		return fail(core.NotConnected, err)
+	}
+	if clear != nil {
+		if err := clear(); err != nil {
+			p.put(c)
+			return fail(core.NotConnected, err)
+		}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	if n, err := c.Write(request); err != nil {
+		stop()
+		c.discard()
+		if n < len(request) {
+			return fail(core.PartlyWritten, err)
+		}
+		return fail(core.Written, err)
+	}
+	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	if err != nil {
+		stop()
+		c.discard()
+		return fail(core.Written, err)
+	}
+	return &Answer{Response: resp, pool: p, conn: c, stop: stop, ctx: ctx}, nil
+}
+
+// Small reads a short answer whole and gives the connection back.
+func (a *Answer) Small() ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxSmall+1))
+	if err == nil && len(body) > maxSmall {
+		err = fmt.Errorf("an answer of more than %d bytes", maxSmall)
+	}
+	a.end(err == nil)
+	if err != nil {
+		return nil, a.failed(core.Head, err)
+	}
+	return body, nil
+}
+
+// First waits for the first bytes of a stream, still under the exchange's context, and keeps them for Next. From
+// then on only Next and Close end the stream.
+func (a *Answer) First() error {
+	a.buf = make([]byte, piece)
+	b, err := a.read()
+	if len(b) == 0 {
+		a.end(false)
+		return a.failed(core.Head, cmp.Or(err, io.ErrNoProgress))
+	}
+	if !a.stop() {
+		a.end(false)
+		return a.failed(core.Head, context.Canceled)
+	}
+	a.stop = func() bool { return true }
+	a.kept = b
+	return nil
+}
+
+// Next reads the next bytes of a stream as they come. io.EOF says that it has come to its proper end.
+func (a *Answer) Next() ([]byte, error) {
+	if b := a.kept; b != nil {
+		a.kept = nil
+		return b, nil
+	}
+	if err := a.conn.SetReadDeadline(time.Now().Add(silentLimit)); err != nil {
+		a.end(false)
+		return nil, &core.AttemptError{Stage: core.Streaming, Err: err}
+	}
+	b, err := a.read()
+	switch {
+	case errors.Is(err, io.EOF):
+		a.end(true)
+	case err != nil:
+		a.end(false)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = fmt.Errorf("silent for %v", silentLimit)
+		}
+		err = &core.AttemptError{Stage: core.Streaming, Err: err}
+	}
+	return b, err
+}
+
+// read reads some of the body. One without a length or chunks ends with its connection, so its end proves
+// nothing and counts as a break.
+func (a *Answer) read() ([]byte, error) {
+	n, err := a.Body.Read(a.buf)
+	if errors.Is(err, io.EOF) && a.ContentLength < 0 && len(a.TransferEncoding) == 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return a.buf[:n], err
+}
+
+// Close gives the answer up, unless it has come to its end. It may be called while Next waits.
+func (a *Answer) Close() {
+	if a.done.CompareAndSwap(false, true) {
+		a.conn.discard()
+	}
+}
+
+func (a *Answer) end(whole bool) {
+	if !a.stop() || !whole || a.Response.Close {
+		a.Close()
+	} else if a.done.CompareAndSwap(false, true) {
+		a.pool.put(a.conn)
+	}
+}
+
+func (a *Answer) failed(stage core.Stage, err error) error {
+	if cause := context.Cause(a.ctx); cause != nil {
+		err = cause
+	}
+	return &core.AttemptError{Stage: stage, Err: err}
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,156 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Pool keeps the connections to workers that wait for their next request.
+type Pool struct {
+	budget      *Budget
+	dialTimeout time.Duration
+	idleLimit   time.Duration
+
+	mu   sync.Mutex
+	idle map[string][]*conn // by address, the one used last at the end
+}
+
+// conn is one connection; it carries one exchange at a time.
+type conn struct {
+	net.Conn
+	addr  string
+	br    *bufio.Reader
+	since time.Time // idle
+	back  func()
+}
+
+// idleShare of the time after which the far side may close an idle connection is how long one is kept: what is
+// written to it from that time on is lost, and a filing lost so may have run.
+const idleShare = 0.7
+
+// NewPool makes a pool that dials for at most dialTimeout, to workers that close what was idle for idleLimit.
+func NewPool(budget *Budget, dialTimeout, idleLimit time.Duration) *Pool {
+	return &Pool{budget: budget, dialTimeout: dialTimeout, idle: map[string][]*conn{},
+		idleLimit: time.Duration(idleShare * float64(idleLimit))}
+}
+
+var errNoSocket = errors.New("no socket is left")
+
+// get takes an idle connection that is fit for use, or dials.
+func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
+	for {
+		c := p.take(addr)
+		if c == nil {
+			break
+		}
+		if time.Since(c.since) < p.idleLimit && quiet(c) {
+			return c, nil
+		}
+		c.discard()
+	}
+	if !p.budget.take() && !(p.evict() && p.budget.take()) {
+		return nil, errNoSocket
+	}
+	dialer := net.Dialer{Timeout: p.dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.budget.give()
+		return nil, err
+	}
+	return &conn{Conn: raw, addr: addr, br: bufio.NewReaderSize(raw, 8<<10), back: sync.OnceFunc(p.budget.give)}, nil
+}
+
+func (p *Pool) take(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.set(addr, list[:len(list)-1])
+	return c
+}
+
+func (p *Pool) set(addr string, list []*conn) {
+	if len(list) == 0 {
+		delete(p.idle, addr)
+		return
+	}
+	p.idle[addr] = list
+}
+
+// put takes back a connection whose exchange has ended whole.
+func (p *Pool) put(c *conn) {
+	if c.br.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+		c.discard()
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.since = time.Now()
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+}
+
+// evict closes the connection that has been idle for longest, to make room for a new one.
+func (p *Pool) evict() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var oldest *conn
+	for _, list := range p.idle {
+		if oldest == nil || list[0].since.Before(oldest.since) {
+			oldest = list[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.set(oldest.addr, p.idle[oldest.addr][1:])
+	oldest.discard()
+	return true
+}
+
+// Sweep closes what has been idle for too long; call it now and then.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.idle {
+		n := 0
+		for n < len(list) && time.Since(list[n].since) >= p.idleLimit {
+			list[n].discard()
+			n++
+		}
+		p.set(addr, list[n:])
+	}
+}
+
+func (c *conn) discard() {
+	_ = c.Close() // nothing is left to be lost
+	c.back()
+}
+
+// quiet tells whether an idle connection is still open and has nothing to read: an end of file, a reset, or
+// bytes that nobody asked for make it unfit. The look takes nothing and does not wait.
+func quiet(c *conn) bool {
+	tcp, ok := c.Conn.(syscall.Conn)
+	if !ok || c.br.Buffered() > 0 {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		silent = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && silent
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -178,31 +178,14 @@
 	}
 }
 
-func TestSettings(t *testing.T) {
-	s, err := ParseSettings([]byte(`{"balancers": 2, "later": {"x": [1]}, "familyInfo": {"pinLimitMs": 500.0}}`))
-	if err != nil || s.Balancers != 2 || s.Family.PinLimitMs != 500 || s.Registry != "automatic" {
-		t.Fatalf("%+v, %v", s, err)
-	}
-	for _, bad := range []string{"", "{", `{"balancers": "two"}`, `{"balancers": 0}`, "[]"} {
-		if _, err := ParseSettings([]byte(bad)); err == nil {
-			t.Errorf("%q was accepted", bad)
-		}
-	}
-}
-
 func FuzzReadBatch(f *testing.F) {
 	for _, text := range []string{printedBatch, printedList, printedOutcome} {
 		f.Add(unhex(f, text))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		b, err := ReadBatch(bytes.NewReader(data))
+		_, err := ReadBatch(bytes.NewReader(data))
 		if err != nil && !errors.Is(err, ErrMalformed) && !errors.Is(err, io.EOF) {
 			t.Fatalf("unexpected kind of error: %v", err)
 		}
-		for _, ev := range b.Events {
-			if ev.Code == EvProvision {
-				_, _ = ParseSettings(ev.Settings)
-			}
-		}
 	})
 }
