--- a/cmd/sumacloft/main.go
+++ b/cmd/sumacloft/main.go
@@ -1,9 +1,13 @@
-// Command sumacloft is a router for two-stage language-model serving.
+// Command sumacloft is a router for two-stage language-model serving. On the platform it reads the PROXY_*
+// variables; with -config it serves the chat API as an operator's file sets it up.
 package main
 
 import (
 	"context"
 	"errors"
+	"flag"
+	stdlog "log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -16,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sumacloft/brain"
+	"sumacloft/internal/chat"
 	"sumacloft/internal/config"
 	"sumacloft/internal/core"
 	"sumacloft/internal/discovery"
@@ -37,74 +42,154 @@
 )
 
 func main() {
+	file := flag.String("config", "", "the operator's file; without it the PROXY_* variables are read")
+	flag.Parse()
 	log := logrus.New()
-	if level, err := logrus.ParseLevel(os.Getenv("SUMACLOFT_LOG")); err == nil {
+	if text := os.Getenv("SUMACLOFT_LOG"); text != "" {
+		level, err := logrus.ParseLevel(text)
+		if err != nil {
+			log.WithError(err).Fatal("SUMACLOFT_LOG")
+		}
 		log.SetLevel(level)
 	}
-	if err := run(log); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	start := onPlatform
+	if *file != "" {
+		start = func(log *logrus.Logger) (*router, error) { return forOperator(log, *file) }
+	}
+	r, err := start(log)
+	if err == nil {
+		err = r.serve(ctx, log)
+	}
+	if err != nil {
 		log.WithError(err).Fatal("sumacloft stopped")
 	}
 }
 
-func run(log *logrus.Logger) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+// front is what either front gives the daemon.
+type front interface {
+	http.Handler
+	Drain()
+}
+
+// router is the wired program.
+type router struct {
+	listen string
+	budget *upstream.Budget
+	pool   *upstream.Pool
+	core   *core.Core
+	front  front
+	watch  func(context.Context) // nil: the list of workers does not change
+}
+
+func (r *router) limit(l config.Limits) {
+	runtime.GOMAXPROCS(max(int(l.Cores), 1))
+	debug.SetMemoryLimit(int64(memoryShare * float64(l.MemoryMB<<20)))
+	r.budget = upstream.NewBudget(l.Sockets)
+}
+
+// follow keeps the core's list of workers by the agent at an address.
+func (r *router) follow(addr string, revision int64, names discovery.Names, log logrus.FieldLogger) {
+	r.watch = func(ctx context.Context) {
+		discovery.New(addr, log).Run(ctx, revision, func(l discovery.List) {
+			kind := brain.ListDelta
+			if l.Complete {
+				kind = brain.ListWhole
+			}
+			r.core.Listed(kind, names.Workers(l.Members))
+		})
+	}
+}
+
+func onPlatform(log *logrus.Logger) (*router, error) {
 	cfg, err := config.Platform(os.Getenv)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	runtime.GOMAXPROCS(max(int(cfg.Limits.Cores), 1))
-	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB<<20)))
 	set, err := cfg.Settings.Brain()
 	if err != nil {
-		return err
+		return nil, err
 	}
-	budget := upstream.NewBudget(cfg.Limits.Sockets)
-	pool := upstream.NewPool(budget, config.Millis(cfg.Settings.Bounds.ConnectTimeoutMs), config.Millis(cfg.Settings.Bounds.ConnIdleMs))
-	workers := platform.NewWorkers(pool)
-	c := core.New(set, cfg.Seed, workers, log)
+	r := &router{listen: cfg.Listen}
+	r.limit(cfg.Limits)
+	bounds := cfg.Settings.Bounds
+	r.pool = upstream.NewPool(r.budget, config.Millis(bounds.ConnectTimeoutMs), config.Millis(bounds.ConnIdleMs))
+	workers := platform.NewWorkers(r.pool)
+	r.core = core.New(set, cfg.Seed, workers, log)
 	names := discovery.Names{Zones: cfg.Settings.Zones, Kinds: cfg.Settings.Kinds}
-	c.Listed(brain.ListCached, names.Workers(cfg.Known.Members))
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	go c.Run(ctx)
-	go discovery.New(cfg.Discovery, log).Run(ctx, cfg.Known.Revision, func(l discovery.List) {
-		kind := brain.ListDelta
-		if l.Complete {
-			kind = brain.ListWhole
-		}
-		c.Listed(kind, names.Workers(l.Members))
-	})
-	go func() {
-		for range time.Tick(sweeps) {
-			pool.Sweep()
-		}
-	}()
-	return serve(log, cfg.Listen, budget, platform.New(c, workers, cfg.Settings.Class), signals)
+	r.core.Listed(brain.ListCached, names.Workers(cfg.Known.Members))
+	r.follow(cfg.Discovery, cfg.Known.Revision, names, log)
+	r.front = platform.New(r.core, workers, cfg.Settings.Class)
+	return r, nil
+}
+
+func forOperator(log *logrus.Logger, file string) (*router, error) {
+	cfg, err := config.ReadOperator(file)
+	if err != nil {
+		return nil, err
+	}
+	r := &router{listen: cfg.Listen}
+	r.limit(config.Limits(cfg.Limits))
+	r.pool = upstream.NewPool(r.budget, config.Millis(cfg.Chat.ConnectTimeoutMs), config.Millis(cfg.Chat.ConnIdleMs))
+	servers := chat.NewServers(r.pool, cfg.Chat.HealthPath)
+	seed := cfg.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	r.core = core.New(cfg.Chat.Brain(), seed, servers, log)
+	r.core.Listed(brain.ListWhole, cfg.Chat.Workers())
+	if cfg.Discovery != "" {
+		r.follow(cfg.Discovery, 0, cfg.Chat.Names(), log)
+	}
+	r.front = chat.New(r.core, servers, cfg.Chat)
+	return r, nil
 }
 
-// serve answers until a signal comes, then takes what still arrives for a while and ends what it has taken.
-func serve(log *logrus.Logger, addr string, budget *upstream.Budget, front *platform.Front, signals <-chan os.Signal) error {
-	listener, err := net.Listen("tcp", addr)
+// serve answers until ctx ends, then takes what still arrives for a while and ends what it has taken.
+func (r *router) serve(ctx context.Context, log *logrus.Logger) error {
+	listener, err := net.Listen("tcp", r.listen)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: front, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	go r.core.Run(background)
+	if r.watch != nil {
+		go r.watch(background)
+	}
+	go r.sweep(background)
+	complaints := log.WriterLevel(logrus.WarnLevel)
+	defer complaints.Close()
+	server := &http.Server{Handler: r.front, ReadHeaderTimeout: headTime, IdleTimeout: idleTime,
+		MaxHeaderBytes: maxHead, ErrorLog: stdlog.New(complaints, "", 0)}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(budget.Listen(listener)) }()
-	log.WithField("listen", addr).Info("ready")
+	go func() { failed <- server.Serve(r.budget.Listen(listener)) }()
+	log.WithField("listen", r.listen).Info("ready")
 	select {
 	case err := <-failed:
 		return err
-	case sig := <-signals:
-		log.WithField("signal", sig).Info("draining")
+	case <-ctx.Done():
 	}
-	front.Drain()
+	log.Info("draining")
+	r.front.Drain()
 	time.Sleep(lingers)
-	err = server.Shutdown(context.Background())
-	if errors.Is(err, http.ErrServerClosed) {
-		err = nil
+	if err := server.Shutdown(context.Background()); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return err
 	}
 	log.Info("drained")
-	return err
+	return nil
+}
+
+func (r *router) sweep(ctx context.Context) {
+	every := time.NewTicker(sweeps)
+	defer every.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-every.C:
+			r.pool.Sweep()
+		}
+	}
 }
--- /dev/null
+++ b/internal/chat/front.go
@@ -0,0 +1,343 @@
+// Package chat is the OpenAI-style front: chat completions, streamed and not, on the same core and under the
+// same rules as the platform's front. A request's body goes on to a server as it came, and so does the answer.
+package chat
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"sumacloft/brain"
+	"sumacloft/internal/config"
+	"sumacloft/internal/core"
+)
+
+const (
+	maxBody   = 256 << 10
+	bodyTime  = 10 * time.Second
+	writeTime = 15 * time.Second
+	// tokenBytes is about how much text makes a token: prompts are not counted, only estimated.
+	tokenBytes = 4
+	// statusUnknown answers a filing that may have run. The public client libraries repeat 408, 409, 429 and
+	// everything from 500 on by themselves; this one they hand to their caller.
+	statusUnknown = http.StatusFailedDependency
+	noRetry       = "X-Should-Retry"
+	idHeader      = "X-Request-Id"
+)
+
+// Front takes chat requests. Use New.
+type Front struct {
+	core    *core.Core
+	servers *Servers
+	set     config.Chat
+	models  []string
+	class   map[string]int // by model
+	named   map[string]int // by the class's name
+	closing atomic.Bool
+	mux     *http.ServeMux
+}
+
+// New makes a front.
+func New(c *core.Core, servers *Servers, set config.Chat) *Front {
+	f := &Front{core: c, servers: servers, set: set, class: map[string]int{}, named: map[string]int{}, mux: http.NewServeMux()}
+	for i, k := range set.Classes {
+		f.named[k.Name] = i
+		for _, m := range k.Models {
+			f.class[m] = i
+			f.models = append(f.models, m)
+		}
+	}
+	slices.Sort(f.models)
+	f.mux.HandleFunc("POST /v1/chat/completions", f.complete)
+	f.mux.HandleFunc("GET /v1/models", f.listModels)
+	f.mux.HandleFunc("GET /v1/models/{model}", f.oneModel)
+	f.mux.HandleFunc("GET /health", f.health)
+	f.mux.HandleFunc("/v1/chat/completions", wrongMethod("POST"))
+	f.mux.HandleFunc("/v1/models", wrongMethod("GET"))
+	f.mux.HandleFunc("/", func(w http.ResponseWriter, req *http.Request) {
+		fail(w, http.StatusNotFound, "invalid_request_error", "not_found", "no such path: "+req.URL.Path)
+	})
+	return f
+}
+
+// Drain makes the health check fail and asks clients to leave after their next answer.
+func (f *Front) Drain() { f.closing.Store(true) }
+
+// ServeHTTP serves http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if f.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	f.mux.ServeHTTP(w, req)
+}
+
+func wrongMethod(allowed string) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set("Allow", allowed)
+		fail(w, http.StatusMethodNotAllowed, "invalid_request_error", "method_not_allowed", req.Method+" is not allowed here")
+	}
+}
+
+func (f *Front) health(w http.ResponseWriter, _ *http.Request) {
+	if f.closing.Load() {
+		fail(w, http.StatusServiceUnavailable, "server_error", "shutting_down", "shutting down")
+		return
+	}
+	answer(w, http.StatusOK, map[string]string{"status": "ok"})
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (f *Front) listModels(w http.ResponseWriter, _ *http.Request) {
+	list := make([]model, 0, len(f.models))
+	for _, m := range f.models {
+		list = append(list, model{m, "model", 0, "sumacloft"})
+	}
+	answer(w, http.StatusOK, map[string]any{"object": "list", "data": list})
+}
+
+func (f *Front) oneModel(w http.ResponseWriter, req *http.Request) {
+	name := req.PathValue("model")
+	if _, known := f.class[name]; !known {
+		fail(w, http.StatusNotFound, "invalid_request_error", "model_not_found", fmt.Sprintf("the model %q does not exist", name))
+		return
+	}
+	answer(w, http.StatusOK, model{name, "model", 0, "sumacloft"})
+}
+
+// complete is one chat completion: whatever is malformed is answered here and reaches no server.
+func (f *Front) complete(w http.ResponseWriter, req *http.Request) {
+	rc := http.NewResponseController(w)
+	body, err := readBody(w, req, rc)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		fail(w, http.StatusRequestEntityTooLarge, "invalid_request_error", "request_too_large", fmt.Sprintf("the body is larger than %d bytes", maxBody))
+		return
+	case err != nil:
+		fail(w, http.StatusBadRequest, "invalid_request_error", "unreadable_body", "the body can't be read")
+		return
+	}
+	j, status, err := f.parse(req, body)
+	if err != nil {
+		code := "invalid_value"
+		if status == http.StatusNotFound {
+			code = "model_not_found"
+		}
+		fail(w, status, "invalid_request_error", code, err.Error())
+		return
+	}
+	out := &client{w: w, rc: rc, job: j}
+	f.core.Do(req.Context(), j, out)
+	if out.broken {
+		panic(http.ErrAbortHandler) // the server then closes the connection without the last chunk
+	}
+}
+
+func readBody(w http.ResponseWriter, req *http.Request, rc *http.ResponseController) ([]byte, error) {
+	if err := rc.SetReadDeadline(time.Now().Add(bodyTime)); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxBody))
+	if err != nil {
+		return nil, err
+	}
+	return body, rc.SetReadDeadline(time.Time{}) // the watch for a client that leaves must not end by it
+}
+
+// asked is what is taken out of a body.
+type asked struct {
+	Model    *string           `json:"model"`
+	Stream   bool              `json:"stream"`
+	Messages []json.RawMessage `json:"messages"`
+	Max      *float64          `json:"max_tokens"`
+	MaxNew   *float64          `json:"max_completion_tokens"`
+}
+
+func (f *Front) parse(req *http.Request, body []byte) (*job, int, error) {
+	var a asked
+	if err := json.Unmarshal(body, &a); err != nil {
+		return nil, http.StatusBadRequest, fmt.Errorf("the body is not a chat completion request: %w", err)
+	}
+	if a.Model == nil || *a.Model == "" {
+		return nil, http.StatusBadRequest, errors.New("model: missing")
+	}
+	if len(a.Messages) == 0 {
+		return nil, http.StatusBadRequest, errors.New("messages: missing or empty")
+	}
+	limit := f.set.MaxTokens
+	for _, v := range []*float64{a.Max, a.MaxNew} {
+		if v != nil {
+			if !(*v >= 1) {
+				return nil, http.StatusBadRequest, errors.New("max_tokens: must be at least 1")
+			}
+			limit = *v
+		}
+	}
+	class, known := f.class[*a.Model]
+	if name := req.Header.Get(f.set.ClassHeader); name != "" {
+		if class, known = f.named[name]; !known {
+			return nil, http.StatusBadRequest, fmt.Errorf("%s: %q is not a class", f.set.ClassHeader, name)
+		}
+	}
+	if !known {
+		if f.set.Unknown == config.UnknownReject {
+			return nil, http.StatusNotFound, fmt.Errorf("the model %q does not exist", *a.Model)
+		}
+		class = len(f.set.Classes) // the last one: it must never run twice
+	}
+	j := &job{servers: f.servers, body: body, stream: a.Stream, auth: req.Header.Get("Authorization"),
+		contentType: req.Header.Get("Content-Type"), arrival: brain.Arrived{Class: class, MaxTokens: limit,
+			Left: f.patience(class, a.Stream)}}
+	f.measure(&j.arrival, a.Messages, req.Header.Get(f.set.SessionHeader))
+	return j, 0, nil
+}
+
+// patience is how long the answer may take to begin. One that does not stream begins when it is whole.
+func (f *Front) patience(class int, stream bool) time.Duration {
+	longest := 0.0
+	for i, k := range f.set.Classes {
+		wait := k.DeadlineMs
+		if !stream {
+			wait = k.WholeMs
+		}
+		if i == class {
+			return config.Millis(wait)
+		}
+		longest = max(longest, wait)
+	}
+	return config.Millis(longest)
+}
+
+// measure estimates lengths and names the opening and the conversation: the first message is what
+// conversations share, the first two tell them apart where the client does not.
+func (f *Front) measure(a *brain.Arrived, messages []json.RawMessage, session string) {
+	for _, m := range messages {
+		a.PromptTokens += float64(len(m)) / tokenBytes
+	}
+	if len(messages) > 1 {
+		a.Prefix, a.PrefixTokens = hash(messages[0]), float64(len(messages[0]))/tokenBytes
+	}
+	if session != "" {
+		a.Session = hash([]byte(session))
+	} else {
+		a.Session = hash(bytes.Join([][]byte{messages[0], messages[min(1, len(messages)-1)]}, []byte{0}))
+	}
+}
+
+func hash(text []byte) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(text) // never fails
+	return h.Sum64()
+}
+
+// client is the answering side of a request.
+type client struct {
+	w       http.ResponseWriter
+	rc      *http.ResponseController
+	job     *job
+	started bool
+	broken  bool
+}
+
+// Refuse says that trying again is harmless, and when.
+func (c *client) Refuse(holdOff time.Duration) {
+	if holdOff > 0 {
+		c.w.Header().Set("Retry-After", strconv.FormatFloat(holdOff.Seconds(), 'f', 3, 64))
+		c.w.Header().Set("Retry-After-Ms", strconv.FormatInt(holdOff.Milliseconds(), 10))
+	}
+	fail(c.w, http.StatusServiceUnavailable, "server_error", "overloaded", "no server can take the request now; it has not run")
+}
+
+// Fail tells that the request may have run; no client library may repeat it by itself.
+func (c *client) Fail() {
+	c.w.Header().Set(noRetry, "false")
+	fail(c.w, statusUnknown, "server_error", "outcome_unknown",
+		"the request may have run: find out before you send it again")
+}
+
+// Pass passes on what a server answered, as it came and at once.
+func (c *client) Pass(events []byte) error {
+	if !c.started {
+		c.started = true
+		c.job.served(c.w.Header())
+		c.w.WriteHeader(c.job.status)
+	}
+	if err := c.rc.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+		return err
+	}
+	if _, err := c.w.Write(events); err != nil {
+		return err
+	}
+	return c.rc.Flush()
+}
+
+// Finish leaves the last chunk to the server.
+func (c *client) Finish() {
+	if !c.started {
+		_ = c.Pass(nil) // an answer that is a status alone
+	}
+	_ = c.rc.SetWriteDeadline(time.Time{}) // a connection gone by now is seen by the server
+}
+
+// Break has the connection closed without the last chunk.
+func (c *client) Break() { c.broken = true }
+
+// fail writes an error in OpenAI's form.
+func fail(w http.ResponseWriter, status int, kind, code, message string) {
+	answer(w, status, map[string]any{"error": map[string]any{"message": message, "type": kind, "param": nil, "code": code}})
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(status)
+	_, _ = w.Write(data) // a client that has left is no error of ours
+}
+
+// lastData closes a stream, in an event of its own; maxLast bounds the line that can hold it.
+const lastData, maxLast = "[DONE]", 32
+
+// closing watches a stream for its closing event, which may come in pieces.
+type closing struct {
+	line []byte // the unfinished last line, cut to what matters
+	seen bool
+}
+
+// done tells whether the line so far is the closing event.
+func (c *closing) done() bool {
+	data, ok := strings.CutPrefix(string(c.line), "data:")
+	return ok && strings.TrimSpace(data) == lastData
+}
+
+func (c *closing) watch(events []byte) {
+	for _, b := range events {
+		if b != '\n' && b != '\r' {
+			if len(c.line) < maxLast {
+				c.line = append(c.line, b)
+			}
+			continue
+		}
+		c.seen = c.seen || c.done()
+		c.line = c.line[:0]
+	}
+}
--- /dev/null
+++ b/internal/chat/servers.go
@@ -0,0 +1,186 @@
+package chat
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"sumacloft/brain"
+	"sumacloft/internal/core"
+	"sumacloft/internal/upstream"
+)
+
+// maxWhole bounds an answer that does not stream: it is held until it is whole.
+const maxWhole = 4 << 20
+
+// Servers makes the calls to chat servers.
+type Servers struct {
+	pool       *upstream.Pool
+	healthPath string
+}
+
+// NewServers makes the calls over the pool's connections.
+func NewServers(pool *upstream.Pool, healthPath string) *Servers {
+	return &Servers{pool: pool, healthPath: healthPath}
+}
+
+// Probe asks for a sign of life.
+func (s *Servers) Probe(ctx context.Context, w core.Worker) error {
+	head := "GET " + s.healthPath + " HTTP/1.1\r\nHost: " + w.Addr + "\r\n\r\n"
+	a, err := s.pool.Do(ctx, w.Addr, http.MethodGet, []byte(head), nil)
+	if err != nil {
+		return err
+	}
+	if _, err := a.Small(); err != nil {
+		return err
+	}
+	if a.StatusCode != http.StatusOK {
+		return &core.AttemptError{Stage: core.Head, Verdict: core.Faulted, Err: fmt.Errorf("status %d", a.StatusCode)}
+	}
+	return nil
+}
+
+// job is one chat request on its way to servers. It is asked of one server at a time, and what the last one
+// said stands for the answer.
+type job struct {
+	servers     *Servers
+	arrival     brain.Arrived
+	body        []byte
+	stream      bool
+	auth        string
+	contentType string
+
+	status int // of the answer that is passed on
+	header http.Header
+	length int // of an answer that is passed on whole
+}
+
+// Arrival serves core.Job.
+func (j *job) Arrival(id brain.RequestID) brain.Arrived {
+	j.arrival.Request = id
+	return j.arrival
+}
+
+// Release serves core.Job: chat servers hold nothing between calls.
+func (j *job) Release(context.Context, core.Worker) error { return nil }
+
+// Try serves core.Job.
+func (j *job) Try(ctx context.Context, w core.Worker, clear func() error) (core.Reply, error) {
+	a, err := j.servers.pool.Do(ctx, w.Addr, http.MethodPost, j.bytes(w), clear)
+	if err != nil {
+		return core.Reply{}, err
+	}
+	if !passes(a.StatusCode) {
+		return core.Reply{}, refusal(a)
+	}
+	if j.stream && a.StatusCode == http.StatusOK {
+		if err := a.First(); err != nil {
+			return core.Reply{}, err
+		}
+		j.status, j.header = a.StatusCode, a.Header
+		return core.Reply{Stream: &stream{Answer: a}}, nil
+	}
+	body, err := a.Whole(maxWhole)
+	if err == nil && len(body) == 0 && a.StatusCode == http.StatusOK {
+		err = &core.AttemptError{Stage: core.Head, Err: errEmpty}
+	}
+	if err != nil {
+		return core.Reply{}, err
+	}
+	j.status, j.header, j.length = a.StatusCode, a.Header, len(body)
+	return core.Reply{Stream: &whole{body: body}}, nil
+}
+
+// passes tells whether an answer is the client's business: it was served, or the request itself is at fault,
+// which no other server would see differently. All else is between the router and its servers.
+func passes(status int) bool {
+	switch status {
+	case http.StatusOK, http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound,
+		http.StatusRequestEntityTooLarge, http.StatusUnsupportedMediaType, http.StatusUnprocessableEntity:
+		return true
+	}
+	return false
+}
+
+// refusal reads an answer that is not passed on. Only a server's plain word that it did not start proves that;
+// 429 and 503 alone do not.
+func refusal(a *upstream.Answer) error {
+	_, err := a.Small() // for the connection's sake
+	if err == nil {
+		err = fmt.Errorf("status %d", a.StatusCode)
+	}
+	e := &core.AttemptError{Stage: core.Head, Verdict: core.Faulted, Err: err}
+	if a.Header.Get("Not-Started") == "1" {
+		e.Verdict = core.TurnedAway
+	}
+	return e
+}
+
+func (j *job) bytes(w core.Worker) []byte {
+	out := make([]byte, 0, 512+len(j.body))
+	out = append(out, "POST /v1/chat/completions HTTP/1.1\r\nHost: "+w.Addr+"\r\n"...)
+	out = append(out, idHeader+": "+j.id()+"\r\n"...)
+	for _, h := range [...][2]string{{"Content-Type", j.contentType}, {"Authorization", j.auth}} {
+		if h[1] != "" {
+			out = append(out, h[0]+": "+h[1]+"\r\n"...)
+		}
+	}
+	out = append(out, "Content-Length: "+strconv.Itoa(len(j.body))+"\r\n\r\n"...)
+	return append(out, j.body...)
+}
+
+// id names the request in the logs of servers and clients.
+func (j *job) id() string { return "req-" + strconv.FormatUint(uint64(j.arrival.Request), 16) }
+
+// served puts the head of a server's answer together.
+func (j *job) served(h http.Header) {
+	kind := j.header.Get("Content-Type")
+	if kind == "" {
+		kind = "application/json"
+	}
+	h.Set("Content-Type", kind)
+	h.Set(idHeader, j.id())
+	if j.stream && j.status == http.StatusOK {
+		h.Set("Cache-Control", "no-cache")
+		return
+	}
+	h.Set("Content-Length", strconv.Itoa(j.length))
+}
+
+var (
+	errNotClosed = errors.New("the stream ended without its closing event")
+	errEmpty     = errors.New("an answer without a body")
+)
+
+// stream is a streamed answer. It is whole once its closing event has come, and never before.
+type stream struct {
+	*upstream.Answer
+	closing closing
+}
+
+// Next serves core.Stream.
+func (s *stream) Next() ([]byte, error) {
+	b, err := s.Answer.Next()
+	s.closing.watch(b)
+	switch {
+	case err == nil:
+		return b, nil
+	case s.closing.seen || s.closing.done():
+		return b, io.EOF
+	case errors.Is(err, io.EOF):
+		err = &core.AttemptError{Stage: core.Streaming, Err: errNotClosed}
+	}
+	return b, err
+}
+
+// whole is an answer that came in one piece.
+type whole struct{ body []byte }
+
+// Next serves core.Stream.
+func (s *whole) Next() ([]byte, error) { return s.body, io.EOF }
+
+// Close serves core.Stream.
+func (s *whole) Close() {}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -37,8 +37,8 @@
 
 // Job is one request as its front took it: what the module must know, and how it is sent to a worker.
 type Job interface {
-	// Arrival describes the request; the core gives it its id.
-	Arrival() brain.Arrived
+	// Arrival describes the request under the id that the core has minted for it.
+	Arrival(id brain.RequestID) brain.Arrived
 	// Try sends the request to a worker. Just before it writes anything it asks clear, also after a slow dial,
 	// and ends with that error if there is one. Every error is an *AttemptError.
 	Try(ctx context.Context, w Worker, clear func() error) (Reply, error)
@@ -83,7 +83,9 @@
 	now := time.Now()
 	return &Core{log: log, prober: prober, zero: now, unix: time.Duration(now.UnixNano()),
 		sched: brain.New(set, seed), workers: map[brain.EngineID]*Worker{},
-		requests: map[brain.RequestID]*request{}, sooner: make(chan struct{}, 1)}
+		requests: map[brain.RequestID]*request{},
+		lastID:   brain.RequestID(now.UnixMicro()), // ids of an earlier start do not come again
+		sooner:   make(chan struct{}, 1)}
 }
 
 // now is the time by the monotonic clock, counted like Unix time so that discovery's times compare with it.
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -67,11 +67,10 @@
 }
 
 func (c *Core) arrive(job Job) *request {
-	arrived := job.Arrival()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastID++
-	arrived.Request = c.lastID
+	arrived := job.Arrival(c.lastID)
 	r := &request{id: c.lastID, job: job, deadline: time.Now().Add(arrived.Left), wake: make(chan struct{}, 1)}
 	c.requests[r.id] = r
 	c.handle(arrived)
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -54,6 +54,9 @@
 	return out
 }
 
+// Zone is the place of a zone.
+func (n Names) Zone(name string) int { return place(n.Zones, name) }
+
 func place(names []string, name string) int {
 	if i := slices.Index(names, name); i >= 0 {
 		return i
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -53,8 +53,11 @@
 	body        []byte
 }
 
-// Arrival serves core.Job. What the body took to come is not the client's wait, nor is it the module's.
-func (j *job) Arrival() brain.Arrived { return j.arrival }
+// Arrival serves core.Job. The id on the wire stays the client's own.
+func (j *job) Arrival(id brain.RequestID) brain.Arrived {
+	j.arrival.Request = id
+	return j.arrival
+}
 
 // Try serves core.Job.
 func (j *job) Try(ctx context.Context, w core.Worker, clear func() error) (core.Reply, error) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -74,10 +74,16 @@
 }
 
 // Small reads a short answer whole and gives the connection back.
-func (a *Answer) Small() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxSmall+1))
-	if err == nil && len(body) > maxSmall {
-		err = fmt.Errorf("an answer of more than %d bytes", maxSmall)
+func (a *Answer) Small() ([]byte, error) { return a.Whole(maxSmall) }
+
+// Whole reads an answer of at most so many bytes and gives the connection back.
+func (a *Answer) Whole(most int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, most+1))
+	if err == nil && int64(len(body)) > most {
+		err = fmt.Errorf("an answer of more than %d bytes", most)
+	}
+	if err == nil && a.unbounded() {
+		err = io.ErrUnexpectedEOF
 	}
 	a.end(err == nil)
 	if err != nil {
@@ -128,16 +134,19 @@
 	return b, err
 }
 
-// read reads some of the body. One without a length or chunks ends with its connection, so its end proves
-// nothing and counts as a break.
+// read reads some of the body.
 func (a *Answer) read() ([]byte, error) {
 	n, err := a.Body.Read(a.buf)
-	if errors.Is(err, io.EOF) && a.ContentLength < 0 && len(a.TransferEncoding) == 0 {
+	if errors.Is(err, io.EOF) && a.unbounded() {
 		err = io.ErrUnexpectedEOF
 	}
 	return a.buf[:n], err
 }
 
+// unbounded tells of a body without a length or chunks: it ends with its connection, so its end proves nothing
+// and counts as a break.
+func (a *Answer) unbounded() bool { return a.ContentLength < 0 && len(a.TransferEncoding) == 0 }
+
 // Close gives the answer up, unless it has come to its end. It may be called while Next waits.
 func (a *Answer) Close() {
 	if a.done.CompareAndSwap(false, true) {
