A replicated store with etcd's watch semantics, its watch as a source of members, examples

raft and raft-boltdb under a versioned key space; KV and Watch served with etcd's own types. Tests on loopback: leader loss, lagging follower, compaction, a silent watch, restart, and a drain put into the store that keeps new work away within 1 s.

--- a/cmd/sumacloft/main.go
+++ b/cmd/sumacloft/main.go
@@ -24,6 +24,7 @@
 	"sumacloft/internal/config"
 	"sumacloft/internal/core"
 	"sumacloft/internal/discovery"
+	"sumacloft/internal/etcd"
 	"sumacloft/internal/platform"
 	"sumacloft/internal/upstream"
 )
@@ -61,6 +62,9 @@
 	r, err := start(log)
 	if err == nil {
 		err = r.serve(ctx, log)
+		if r.close != nil {
+			err = errors.Join(err, r.close())
+		}
 	}
 	if err != nil {
 		log.WithError(err).Fatal("sumacloft stopped")
@@ -81,6 +85,7 @@
 	core   *core.Core
 	front  front
 	watch  func(context.Context) // nil: the list of workers does not change
+	close  func() error
 }
 
 func (r *router) limit(l config.Limits) {
@@ -89,10 +94,13 @@
 	r.budget = upstream.NewBudget(l.Sockets)
 }
 
-// follow keeps the core's list of workers by the agent at an address.
-func (r *router) follow(addr string, revision int64, names discovery.Names, log logrus.FieldLogger) {
+// source brings lists of members until its context ends.
+type source func(ctx context.Context, tell func(discovery.List))
+
+// follow keeps the core's list of workers by a source.
+func (r *router) follow(run source, names discovery.Names) {
 	r.watch = func(ctx context.Context) {
-		discovery.New(addr, log).Run(ctx, revision, func(l discovery.List) {
+		run(ctx, func(l discovery.List) {
 			kind := brain.ListDelta
 			if l.Complete {
 				kind = brain.ListWhole
@@ -102,6 +110,12 @@
 	}
 }
 
+func agent(addr string, revision int64, log logrus.FieldLogger) source {
+	return func(ctx context.Context, tell func(discovery.List)) {
+		discovery.New(addr, log).Run(ctx, revision, tell)
+	}
+}
+
 func onPlatform(log *logrus.Logger) (*router, error) {
 	cfg, err := config.Platform(os.Getenv)
 	if err != nil {
@@ -119,7 +133,7 @@
 	r.core = core.New(set, cfg.Seed, workers, log)
 	names := discovery.Names{Zones: cfg.Settings.Zones, Kinds: cfg.Settings.Kinds}
 	r.core.Listed(brain.ListCached, names.Workers(cfg.Known.Members))
-	r.follow(cfg.Discovery, cfg.Known.Revision, names, log)
+	r.follow(agent(cfg.Discovery, cfg.Known.Revision, log), names)
 	r.front = platform.New(r.core, workers, cfg.Settings.Class)
 	return r, nil
 }
@@ -130,6 +144,11 @@
 		return nil, err
 	}
 	r := &router{listen: cfg.Listen}
+	if cfg.Store.ID != "" {
+		if cfg, r.close, err = openStore(cfg, log); err != nil {
+			return nil, err
+		}
+	}
 	r.limit(config.Limits(cfg.Limits))
 	r.pool = upstream.NewPool(r.budget, config.Millis(cfg.Chat.ConnectTimeoutMs), config.Millis(cfg.Chat.ConnIdleMs))
 	servers := chat.NewServers(r.pool, cfg.Chat.HealthPath)
@@ -140,7 +159,10 @@
 	r.core = core.New(cfg.Chat.Brain(), seed, servers, log)
 	r.core.Listed(brain.ListWhole, cfg.Chat.Workers())
 	if cfg.Discovery != "" {
-		r.follow(cfg.Discovery, 0, cfg.Chat.Names(), log)
+		r.follow(agent(cfg.Discovery, 0, log), cfg.Chat.Names())
+	} else if len(cfg.Members.Endpoints) > 0 {
+		members := &etcd.Members{Endpoints: cfg.Members.Endpoints, Prefix: cfg.Members.Prefix, Log: log}
+		r.follow(members.Run, cfg.Chat.Names())
 	}
 	r.front = chat.New(r.core, servers, cfg.Chat)
 	return r, nil
--- a/cmd/sumacloft/main_test.go
+++ b/cmd/sumacloft/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,10 @@
 	"testing"
 	"time"
 
+	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
 	"sumacloft/internal/standin"
 )
 
@@ -123,3 +128,63 @@
 		t.Fatalf("%+v, %v", r, err)
 	}
 }
+
+// An operator's daemon with a store of one node: the file's servers are written into it, and a drain put there
+// through etcd's API reaches the router within the second that the rules give.
+func TestDrainThroughStore(t *testing.T) {
+	answers := func(name string) string {
+		return standin.HTTP(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, name) }))
+	}
+	client := free(t)
+	file := fmt.Sprintf("listen = %q\n[[chat.class]]\nname = \"q\"\nmodels = [\"q\"]\neffect = \"safe\"\ndeadline_ms = 2000\n"+
+		"[[chat.server]]\nid = \"one\"\naddr = %q\n[[chat.server]]\nid = \"two\"\naddr = %q\n"+
+		"[store]\nid = \"a\"\n[[store.peer]]\nid = \"a\"\nraft = %q\nclient = %q\n", free(t), answers("one"), answers("two"), free(t), client)
+	path := filepath.Join(t.TempDir(), "operator.toml")
+	if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r, err := forOperator(standin.Log(), path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, terminate := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.serve(ctx, standin.Log()) }()
+	ask := func(session int) string {
+		body := fmt.Sprintf(`{"model":"q","messages":[{"content":"%d"}]}`, session)
+		resp, err := http.Post("http://"+r.listen+"/v1/chat/completions", "application/json", strings.NewReader(body))
+		if err != nil {
+			return ""
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		return string(text)
+	}
+	seen := map[string]bool{}
+	standin.Eventually(t, 5*time.Second, "both servers answer", func() bool {
+		seen[ask(len(seen)+int(time.Now().UnixNano()%1000))] = true
+		return seen["one"] && seen["two"]
+	})
+	conn, err := grpc.NewClient("passthrough:///"+client, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, err = pb.NewKVClient(conn).Put(t.Context(), &pb.PutRequest{Key: []byte("/sumacloft/members/one"), Value: []byte(`{"flavor":"chat","phase":"DRAINING"}`)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second)
+	for i := range 50 {
+		if got := ask(i); got != "two" {
+			t.Fatalf("%q answered 1 s after the drain", got)
+		}
+	}
+	terminate()
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	if err := r.close(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -68,3 +68,58 @@
 		}
 	}
 }
+
+const operator = `listen = "127.0.0.1:1"
+[[chat.class]]
+name = "q"
+models = ["q"]
+effect = "safe"
+deadline_ms = 2000
+[[chat.server]]
+id = "s"
+addr = "127.0.0.1:2"
+[store]
+id = "a"
+[[store.peer]]
+id = "a"
+raft = "127.0.0.1:3"
+client = "127.0.0.1:4"
+`
+
+func TestOperator(t *testing.T) {
+	swap := func(a, b string) string { return strings.Replace(operator, a, b, 1) }
+	for text, fault := range map[string]string{
+		operator:                                             "",
+		swap("listen", "lisen"):                              "lisen",
+		swap("127.0.0.1:1", ""):                              "listen",
+		swap(`"safe"`, `"sure"`):                             "chat.class[0].effect",
+		swap("2000", "0"):                                    "chat.class[0].",
+		swap(`["q"]`, `["q", "q"]`):                          "chat.class[0].models",
+		swap(`id = "s"`, ""):                                 "chat.server[0].id",
+		swap("127.0.0.1:2", "there"):                         "chat.server[0].addr",
+		swap("127.0.0.1:3", ""):                              "store.peer[0].raft",
+		swap(`id = "a"`, `id = "b"`):                         "store.id",
+		swap("[store]", "[members]\nprefix = \"\"\n[store]"): "members.prefix",
+		"discovery = \"127.0.0.1:9\"\n" + operator:           "discovery",
+		"[limits]\nsockets = 3\n":                            "listen",
+	} {
+		path := filepath.Join(t.TempDir(), "operator.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		o, err := ReadOperator(path)
+		if fault == "" {
+			if err != nil || len(o.Members.Endpoints) != 1 || len(o.Chat.Brain().Classes) != 2 || o.Limits.Sockets != 1024 {
+				t.Errorf("%+v, %v", o, err)
+			}
+			if _, err := o.ReadChat("max_attempts = 2\n"); err != nil {
+				t.Errorf("[chat] from the store: %v", err)
+			}
+			if _, err := o.ReadChat("max_atempts = 2\n"); err == nil || !strings.Contains(err.Error(), "max_atempts") {
+				t.Errorf("an unknown key from the store: %v", err)
+			}
+		} else if err == nil || !strings.HasPrefix(err.Error(), fault) {
+			t.Errorf("error %v, must begin with %s", err, fault)
+		}
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -20,8 +20,111 @@
 	Seed      uint64  `toml:"seed"`
 	Limits    OpLimit `toml:"limits"`
 	Chat      Chat    `toml:"chat"`
+	Members   Members `toml:"members"`
+	Store     Store   `toml:"store"`
 }
 
+// Members says where the list of servers is watched in etcd's API; without endpoints it is not.
+type Members struct {
+	Endpoints []string `toml:"endpoints"`
+	Prefix    string   `toml:"prefix"`
+}
+
+// Store sets up this daemon's node of the replicated store; without an id there is none.
+type Store struct {
+	ID        string      `toml:"id"`
+	Dir       string      `toml:"dir"`        // "" keeps nothing over a restart
+	ConfigKey string      `toml:"config_key"` // where the store holds [chat]; "" for nowhere
+	Peers     []StorePeer `toml:"peer"`
+}
+
+// StorePeer is one node of the store.
+type StorePeer struct {
+	ID     string `toml:"id"`
+	Raft   string `toml:"raft"`
+	Client string `toml:"client"`
+}
+
+// Self is this daemon's node, once checked.
+func (s Store) Self() StorePeer {
+	for _, p := range s.Peers {
+		if p.ID == s.ID {
+			return p
+		}
+	}
+	return StorePeer{}
+}
+
+func (s Store) check() error {
+	if s.ID == "" {
+		if len(s.Peers) > 0 {
+			return fmt.Errorf("store.id: missing")
+		}
+		return nil
+	}
+	ids := map[string]bool{}
+	for i, p := range s.Peers {
+		key := fmt.Sprintf("store.peer[%d]", i)
+		if p.ID == "" || ids[p.ID] {
+			return fmt.Errorf("%s.id: %q is missing or there twice", key, p.ID)
+		}
+		ids[p.ID] = true
+		if err := address(key+".raft", p.Raft); err != nil {
+			return err
+		}
+		if err := address(key+".client", p.Client); err != nil {
+			return err
+		}
+	}
+	if !ids[s.ID] {
+		return fmt.Errorf("store.id: %q is none of store.peer", s.ID)
+	}
+	return nil
+}
+
+func (m *Members) check(s Store) error {
+	if m.Prefix == "" {
+		return fmt.Errorf("members.prefix: missing")
+	}
+	if s.ID != "" && len(m.Endpoints) == 0 { // the store's own nodes, this one first
+		m.Endpoints = append(m.Endpoints, s.Self().Client)
+		for _, p := range s.Peers {
+			if p.ID != s.ID {
+				m.Endpoints = append(m.Endpoints, p.Client)
+			}
+		}
+	}
+	for i, e := range m.Endpoints {
+		if err := address(fmt.Sprintf("members.endpoints[%d]", i), e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ReadChat reads the text of a [chat] table, as the store holds it, over the file's.
+func (o Operator) ReadChat(text string) (Operator, error) {
+	classes, servers := o.Chat.Classes, o.Chat.Servers
+	o.Chat.Classes, o.Chat.Servers = nil, nil
+	meta, err := toml.Decode(text, &o.Chat)
+	if err != nil {
+		return o, fmt.Errorf("%s: %w", o.Store.ConfigKey, err)
+	}
+	if extra := meta.Undecoded(); len(extra) > 0 {
+		return o, fmt.Errorf("%s: chat.%s: not known", o.Store.ConfigKey, extra[0])
+	}
+	if o.Chat.Classes == nil {
+		o.Chat.Classes = classes
+	}
+	if o.Chat.Servers == nil {
+		o.Chat.Servers = servers
+	}
+	return o, o.Chat.check(o.watched())
+}
+
+// watched tells whether something else than the file names servers.
+func (o Operator) watched() bool { return o.Discovery != "" || len(o.Members.Endpoints) > 0 }
+
 // OpLimit is the operator's form of Limits.
 type OpLimit struct {
 	Cores    float64 `toml:"cores"`
@@ -80,9 +183,10 @@
 
 // ReadOperator reads an operator's file.
 func ReadOperator(path string) (Operator, error) {
-	o := Operator{Name: "sumacloft", Chat: Chat{ClassHeader: "X-Request-Class", SessionHeader: "X-Session-Id",
-		Unknown: UnknownReject, HealthPath: "/health", MaxAttempts: 3, MaxRetryAfterMs: 2000, ConnectTimeoutMs: 250,
-		ConnIdleMs: 30000, MemoryTokens: 200000, MaxTokens: 1024}}
+	o := Operator{Name: "sumacloft", Store: Store{ConfigKey: "/sumacloft/config/chat"},
+		Members: Members{Prefix: "/sumacloft/members/"}, Chat: Chat{ClassHeader: "X-Request-Class", SessionHeader: "X-Session-Id",
+			Unknown: UnknownReject, HealthPath: "/health", MaxAttempts: 3, MaxRetryAfterMs: 2000, ConnectTimeoutMs: 250,
+			ConnIdleMs: 30000, MemoryTokens: 200000, MaxTokens: 1024}}
 	meta, err := toml.DecodeFile(path, &o)
 	if err != nil {
 		return o, fmt.Errorf("%s: %w", path, err)
@@ -103,7 +207,16 @@
 		return o, err
 	}
 	o.Limits = OpLimit(limits)
-	return o, o.Chat.check(o.Discovery != "")
+	if err := o.Store.check(); err != nil {
+		return o, err
+	}
+	if err := o.Members.check(o.Store); err != nil {
+		return o, err
+	}
+	if o.Discovery != "" && len(o.Members.Endpoints) > 0 {
+		return o, fmt.Errorf("discovery: there are members.endpoints (or a store) too; only one can name the servers")
+	}
+	return o, o.Chat.check(o.watched())
 }
 
 func (c *Chat) check(discovered bool) error {
@@ -197,7 +310,10 @@
 }
 
 // Workers lists the servers that the file names.
-func (c Chat) Workers() []core.Worker {
+func (c Chat) Workers() []core.Worker { return c.Names().Workers(c.Members()) }
+
+// Members is the same in discovery's form.
+func (c Chat) Members() []discovery.Member {
 	members := make([]discovery.Member, 0, len(c.Servers))
 	for _, s := range c.Servers {
 		if s.Phase == "" {
@@ -206,5 +322,5 @@
 		members = append(members, discovery.Member{ID: s.ID, HostPort: s.Addr, Locality: s.Zone, Flavor: kindChat,
 			Cell: s.Cell, Phase: s.Phase, Size: s.Size})
 	}
-	return c.Names().Workers(members)
+	return members
 }
--- /dev/null
+++ b/internal/store/mvcc.go
@@ -0,0 +1,243 @@
+// Package store is the daemon's own small replicated key-value store: configuration and the state of members,
+// with revisions as etcd counts them, kept alike by a few daemons through raft. Requests do not go through it.
+package store
+
+import (
+	"bytes"
+	"encoding/gob"
+	"errors"
+	"io"
+	"slices"
+	"sort"
+	"sync"
+
+	"go.etcd.io/etcd/api/v3/mvccpb"
+)
+
+// The errors of reads at a revision.
+var (
+	ErrCompacted = errors.New("the revision has been compacted")
+	ErrFuture    = errors.New("the revision is yet to come")
+)
+
+// kv is the state that raft replicates: every version of every key since the last compaction. It is deterministic;
+// equal commands give equal states.
+type kv struct {
+	mu        sync.RWMutex
+	rev       int64
+	compacted int64
+	versions  map[string][]version // ascending
+	keys      []string             // sorted
+	history   []change             // ascending, from compacted on
+	changed   chan struct{}        // closed at the next change
+}
+
+// version is a key's value from a revision on; a deleted one has no value.
+type version struct {
+	Rev, Created, Count int64
+	Value               []byte
+	Deleted             bool
+}
+
+// change names what happened to a key at a revision.
+type change struct {
+	Rev int64
+	Key string
+}
+
+func newKV() *kv { return &kv{rev: 1, versions: map[string][]version{}, changed: make(chan struct{})} }
+
+// at is the version of a key at a revision, or nil.
+func (s *kv) at(key string, rev int64) *version {
+	list := s.versions[key]
+	i := sort.Search(len(list), func(i int) bool { return list[i].Rev > rev })
+	if i == 0 || list[i-1].Deleted {
+		return nil
+	}
+	return &list[i-1]
+}
+
+func (s *kv) pair(key string, v *version) *mvccpb.KeyValue {
+	return &mvccpb.KeyValue{Key: []byte(key), Value: v.Value, CreateRevision: v.Created, ModRevision: v.Rev, Version: v.Count}
+}
+
+// in tells whether a key lies in a range of etcd's form: no end is one key, an end of one zero byte is all from
+// the key on.
+func in(name string, key, end []byte) bool {
+	switch {
+	case len(end) == 0:
+		return name == string(key)
+	case len(end) == 1 && end[0] == 0:
+		return name >= string(key)
+	}
+	return name >= string(key) && name < string(end)
+}
+
+// within lists the keys of a range that exist at a revision.
+func (s *kv) within(key, end []byte, rev int64) []string {
+	var out []string
+	for _, name := range s.keys[sort.SearchStrings(s.keys, string(key)):] {
+		if !in(name, key, end) {
+			break
+		}
+		if s.at(name, rev) != nil {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// read gives the pairs of a range at a revision, 0 for now, with the current revision.
+func (s *kv) read(key, end []byte, rev int64) ([]*mvccpb.KeyValue, int64, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if rev <= 0 {
+		rev = s.rev
+	}
+	if rev > s.rev {
+		return nil, s.rev, ErrFuture
+	}
+	if rev < s.compacted {
+		return nil, s.rev, ErrCompacted
+	}
+	var out []*mvccpb.KeyValue
+	for _, name := range s.within(key, end, rev) {
+		out = append(out, s.pair(name, s.at(name, rev)))
+	}
+	return out, s.rev, nil
+}
+
+// put sets a key at a revision that is not yet current; the lock is held.
+func (s *kv) put(key string, value []byte, rev int64) {
+	v := version{Rev: rev, Created: rev, Count: 1, Value: slices.Clone(value)}
+	if old := s.at(key, rev); old != nil {
+		v.Created, v.Count = old.Created, old.Count+1
+	}
+	s.add(key, v)
+}
+
+func (s *kv) drop(key string, rev int64) { s.add(key, version{Rev: rev, Deleted: true}) }
+
+func (s *kv) add(key string, v version) {
+	if _, known := s.versions[key]; !known {
+		i, _ := slices.BinarySearch(s.keys, key)
+		s.keys = slices.Insert(s.keys, i, key)
+	}
+	s.versions[key] = append(s.versions[key], v)
+	s.history = append(s.history, change{v.Rev, key})
+}
+
+// commit makes a revision current and wakes those who wait for it; the lock is held.
+func (s *kv) commit(rev int64) {
+	s.rev = rev
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// compact forgets what was overwritten before a revision. The changes at that revision itself stay.
+func (s *kv) compact(rev int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case rev <= s.compacted:
+		return ErrCompacted
+	case rev > s.rev:
+		return ErrFuture
+	}
+	s.compacted = rev
+	s.history = slices.Clone(s.history[sort.Search(len(s.history), func(i int) bool { return s.history[i].Rev >= rev }):])
+	for key, list := range s.versions {
+		first := max(sort.Search(len(list), func(i int) bool { return list[i].Rev > rev })-1, 0)
+		if list[first].Deleted && list[first].Rev < rev {
+			first++
+		}
+		if first == len(list) {
+			delete(s.versions, key)
+			i, _ := slices.BinarySearch(s.keys, key)
+			s.keys = slices.Delete(s.keys, i, i+1)
+			continue
+		}
+		s.versions[key] = slices.Clone(list[first:])
+	}
+	close(s.changed) // a watch that has fallen behind must learn of it
+	s.changed = make(chan struct{})
+	return nil
+}
+
+// Changes are events of a range in order, and where to go on.
+type Changes struct {
+	Events    []*mvccpb.Event
+	Revision  int64 // the store's, when these were read
+	Next      int64 // the first revision not looked at
+	Compacted int64 // with ErrCompacted: the oldest revision that can be read
+	Changed   <-chan struct{}
+}
+
+// since gives the events of a range from a revision on, whole revisions only, about most of them.
+func (s *kv) since(key, end []byte, from int64, prev bool, most int) (Changes, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := Changes{Revision: s.rev, Next: max(from, s.rev+1), Compacted: s.compacted, Changed: s.changed}
+	if from < s.compacted {
+		return out, ErrCompacted
+	}
+	for i := sort.Search(len(s.history), func(i int) bool { return s.history[i].Rev >= from }); i < len(s.history); i++ {
+		c := s.history[i]
+		if len(out.Events) >= most && c.Rev != s.history[i-1].Rev {
+			out.Next = c.Rev
+			break
+		}
+		if !in(c.Key, key, end) {
+			continue
+		}
+		ev := &mvccpb.Event{Type: mvccpb.PUT}
+		if v := s.at(c.Key, c.Rev); v != nil {
+			ev.Kv = s.pair(c.Key, v)
+		} else {
+			ev.Type, ev.Kv = mvccpb.DELETE, &mvccpb.KeyValue{Key: []byte(c.Key), ModRevision: c.Rev}
+		}
+		if prev {
+			if v := s.at(c.Key, c.Rev-1); v != nil {
+				ev.PrevKv = s.pair(c.Key, v)
+			}
+		}
+		out.Events = append(out.Events, ev)
+	}
+	return out, nil
+}
+
+// image is a kv as a snapshot holds it.
+type image struct {
+	Rev, Compacted int64
+	Versions       map[string][]version
+	History        []change
+}
+
+func (s *kv) save() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var b bytes.Buffer
+	err := gob.NewEncoder(&b).Encode(image{s.rev, s.compacted, s.versions, s.history})
+	return b.Bytes(), err
+}
+
+func (s *kv) load(r io.Reader) error {
+	var im image
+	if err := gob.NewDecoder(r).Decode(&im); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev, s.compacted, s.versions, s.history = im.Rev, im.Compacted, im.Versions, im.History
+	if s.versions == nil {
+		s.versions = map[string][]version{}
+	}
+	s.keys = s.keys[:0]
+	for key := range s.versions {
+		s.keys = append(s.keys, key)
+	}
+	slices.Sort(s.keys)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return nil
+}
--- /dev/null
+++ b/internal/store/node.go
@@ -0,0 +1,199 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
+	"go.etcd.io/etcd/api/v3/mvccpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// ErrNotLeader says that another node must be asked.
+var ErrNotLeader = errors.New("this node does not lead")
+
+// Peer is one node of the store.
+type Peer struct {
+	ID     string
+	Raft   string // where its raft listens
+	Client string // where its clients are served
+}
+
+// Options set up a node.
+type Options struct {
+	Self  Peer
+	Peers []Peer // all, Self among them
+	Dir   string // "" keeps nothing over a restart
+	Log   io.Writer
+
+	Transport raft.Transport // nil: TCP at Self.Raft
+	// Heartbeat is how long a follower waits for its leader; 0 stands for raft's own default.
+	Heartbeat time.Duration
+}
+
+// Node is this daemon's part of the store.
+type Node struct {
+	raft  *raft.Raft
+	kv    *kv
+	peers []Peer
+	self  Peer
+	close []func() error
+}
+
+const (
+	applyLimit   = 5 * time.Second
+	snapshots    = 2
+	raftConns    = 4
+	raftTimeout  = 2 * time.Second
+	snapshotLogs = 4096
+)
+
+// Open starts a node. Nodes that have nothing on disk begin as a cluster of the named peers.
+func Open(o Options) (*Node, error) {
+	n := &Node{kv: newKV(), peers: o.Peers, self: o.Self}
+	cfg := raft.DefaultConfig()
+	cfg.LocalID, cfg.LogOutput, cfg.LogLevel, cfg.SnapshotThreshold = raft.ServerID(o.Self.ID), o.Log, "WARN", snapshotLogs
+	if o.Heartbeat > 0 {
+		cfg.HeartbeatTimeout, cfg.ElectionTimeout, cfg.LeaderLeaseTimeout = o.Heartbeat, o.Heartbeat, o.Heartbeat/2
+		cfg.CommitTimeout = o.Heartbeat / 10
+	}
+	var logs raft.LogStore = raft.NewInmemStore()
+	stable, snaps := raft.StableStore(logs.(*raft.InmemStore)), raft.SnapshotStore(raft.NewInmemSnapshotStore())
+	if o.Dir != "" {
+		if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+			return nil, err
+		}
+		bolt, err := raftboltdb.NewBoltStore(filepath.Join(o.Dir, "raft.db"))
+		if err != nil {
+			return nil, fmt.Errorf("store: %w", err)
+		}
+		n.close = append(n.close, bolt.Close)
+		logs, stable = bolt, bolt
+		if snaps, err = raft.NewFileSnapshotStore(o.Dir, snapshots, o.Log); err != nil {
+			return nil, errors.Join(err, n.Close())
+		}
+	}
+	transport := o.Transport
+	if transport == nil {
+		addr, err := net.ResolveTCPAddr("tcp", o.Self.Raft)
+		if err != nil {
+			return nil, errors.Join(err, n.Close())
+		}
+		tcp, err := raft.NewTCPTransport(o.Self.Raft, addr, raftConns, raftTimeout, o.Log)
+		if err != nil {
+			return nil, errors.Join(err, n.Close())
+		}
+		n.close = append(n.close, tcp.Close)
+		transport = tcp
+	}
+	known, err := raft.HasExistingState(logs, stable, snaps)
+	if err != nil {
+		return nil, errors.Join(err, n.Close())
+	}
+	if n.raft, err = raft.NewRaft(cfg, &fsm{n.kv}, logs, stable, snaps, transport); err != nil {
+		return nil, errors.Join(err, n.Close())
+	}
+	if !known {
+		var members raft.Configuration
+		for _, p := range o.Peers {
+			members.Servers = append(members.Servers, raft.Server{ID: raft.ServerID(p.ID), Address: raft.ServerAddress(p.Raft)})
+		}
+		if err := n.raft.BootstrapCluster(members).Error(); err != nil && !errors.Is(err, raft.ErrCantBootstrap) {
+			return nil, errors.Join(err, n.Close())
+		}
+	}
+	return n, nil
+}
+
+// Close stops the node.
+func (n *Node) Close() error {
+	var all error
+	if n.raft != nil {
+		all = n.raft.Shutdown().Error()
+	}
+	for i := len(n.close) - 1; i >= 0; i-- {
+		all = errors.Join(all, n.close[i]())
+	}
+	return all
+}
+
+// Leader is the node that leads, as far as this one knows.
+func (n *Node) Leader() (Peer, bool) {
+	_, id := n.raft.LeaderWithID()
+	for _, p := range n.peers {
+		if p.ID == string(id) {
+			return p, true
+		}
+	}
+	return Peer{}, false
+}
+
+// Leads tells whether this node leads.
+func (n *Node) Leads() bool { return n.raft.State() == raft.Leader }
+
+// Self is this node.
+func (n *Node) Self() Peer { return n.self }
+
+// Apply has the cluster agree on a change; the node must lead. The answer is etcd's for the request within.
+// After an error other than ErrNotLeader the change may be made or not.
+func (n *Node) Apply(req *pb.InternalRaftRequest) (any, error) {
+	data, err := proto.Marshal(req)
+	if err != nil {
+		return nil, err
+	}
+	future := n.raft.Apply(data, applyLimit)
+	if err := future.Error(); err != nil {
+		if errors.Is(err, raft.ErrNotLeader) {
+			err = ErrNotLeader
+		}
+		return nil, err
+	}
+	out := future.Response().(applied)
+	return out.response, out.err
+}
+
+// Fresh makes sure that what this node reads next is no older than the call; it must lead.
+func (n *Node) Fresh() error {
+	if err := n.raft.VerifyLeader().Error(); err != nil {
+		return ErrNotLeader
+	}
+	if err := n.raft.Barrier(applyLimit).Error(); err != nil {
+		return ErrNotLeader
+	}
+	return nil
+}
+
+// Range reads from this node's copy, at a revision or, with 0, now.
+func (n *Node) Range(key, end []byte, rev int64) ([]*mvccpb.KeyValue, int64, error) {
+	return n.kv.read(key, end, rev)
+}
+
+// Changes gives the events of a range from a revision on, whole revisions only.
+func (n *Node) Changes(key, end []byte, from int64, prev bool, most int) (Changes, error) {
+	return n.kv.since(key, end, from, prev, most)
+}
+
+// Revision is the current one of this node's copy.
+func (n *Node) Revision() int64 { return n.kv.revision() }
+
+// Ready waits until the cluster has a leader.
+func (n *Node) Ready(ctx context.Context) error {
+	for {
+		if _, ok := n.Leader(); ok {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("store: no leader: %w", ctx.Err())
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
