Module: forget a jam at the writers once none of our attempts waits there

Starts in a jam are learnt seconds late, and refusing all lets nothing disprove them. The belief now fades in 0.5 s when nothing waits.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -261,6 +261,7 @@
 			s.pools[e.role].warm += e.sized()
 		}
 	}
+	s.ease(Writer)
 	s.unpark()
 	if s.set.AskForList && s.now-s.askedAt >= s.set.AskWithin/2 {
 		s.askedAt = s.now
@@ -343,6 +344,18 @@
 	return p.starting * fade(s.now-p.startAt, s.span(startSample, 2*waitMemory, streamMemory))
 }
 
+// ease lets what was learnt of a role's starts go once none of our attempts waits there: a jam that is over
+// would else be believed in for as long as it turns away all that could disprove it.
+func (s *Scheduler) ease(role Role) {
+	for _, e := range s.order {
+		if e.role == role && len(e.out) > 0 {
+			return
+		}
+	}
+	p := &s.pools[role]
+	p.starting, p.startAt = s.startWait(role)*fade(s.tick, waitMemory/2), s.now
+}
+
 func (s *Scheduler) learnStart(e *engine, took time.Duration, weight float64) {
 	p, before := &s.pools[e.role], s.startWait(e.role)
 	p.starting, p.startAt = before+weight*(took.Seconds()-before), s.now
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -721,3 +721,22 @@
 		t.Error("want a refusal when the writers are full, none when they have room")
 	}
 }
+
+// A jam that is over must not be believed in for as long as it turns away whatever could disprove it: after a
+// crash whole seconds of requests were refused at idle writers.
+func TestJamIsForgottenOnceNothingWaits(t *testing.T) {
+	refused := func(waiting bool) bool {
+		b := newBench(t, testSettings(), fleet())
+		if waiting {
+			b.arrive(1, 1, 9*time.Second)
+			b.end(1, Read, false)
+		}
+		b.s.pools[Writer].starting, b.s.pools[Writer].startAt = 3, b.now
+		b.pass(1200 * ms)
+		b.arrive(10, 0, 3*time.Second)
+		return b.finals(10) == 1
+	}
+	if refused(false) || !refused(true) {
+		t.Error("want the belief to go when nothing of ours waits at a writer, and to stay while something does")
+	}
+}
