Module: what is served counts against failures that hold for every class

Refused and broken connections are noted for every class, but starts and reads only for their own, so nothing diluted that evidence but probes. Starts and reads are now noted for every class too.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -182,6 +182,7 @@
 		s.learnStart(e, ev.Took, gain)
 	}
 	s.note(e, r.Class, 0)
+	s.note(e, anyClass, 0)
 	s.countServed(e, r)
 	if r.Class >= 0 && r.Class < len(s.patience) {
 		s.patience[r.Class] += share(poolGain, r.class.Deadline-s.patience[r.Class])
@@ -811,6 +812,7 @@
 		return
 	case Read:
 		s.note(e, class, 0)
+		s.note(e, anyClass, 0)
 	case Errored, TimedOut:
 		if s.note(e, class, 1); ev.Result == TimedOut {
 			return
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -740,3 +740,26 @@
 		t.Error("want the belief to go when nothing of ours waits at a writer, and to stay while something does")
 	}
 }
+
+// What is served is a word for every class, as a refused connection is one against: else only failures counted
+// there, and healthy writers stood idle for the sake of dead neighbours in their cell.
+func TestServingClearsTheNeighboursOfTheDead(t *testing.T) {
+	const neighbour = EngineID(23)
+	b := newBench(t, testSettings(), []Engine{{ID: r1, Cell: 1, Weight: 1}, {ID: w1, Cell: 1, Kind: 1, Weight: 1},
+		{ID: neighbour, Cell: 1, Kind: 1, Weight: 1}})
+	for range 6 {
+		b.s.note(b.s.engines[w1], anyClass, 1)
+	}
+	for id := RequestID(1); id <= 12; id++ {
+		b.arrive(id, 0, 3*time.Second)
+		b.end(id, Read, false)
+		for b.sentTo(id) == w1 && b.finals(id) == 0 {
+			b.end(id, ConnectFailed, false)
+		}
+		b.start(id)
+		b.end(id, Served, false)
+	}
+	risk := func(id EngineID) float64 { return b.s.risk(b.s.engines[id], 1) } // for a class that met neither
+	b.must(risk(w1) > 0.5 && risk(neighbour) < 0.1 && risk(r1) < 0.1,
+		"risk of the dead %.2f, of its neighbour %.2f, of the reader %.2f", risk(w1), risk(neighbour), risk(r1))
+}
