Discovery: lists may be laid out over several lines

Seen on reading the watch against PROTOCOL, which shows lists on several lines: the first fetch was read line by line and would have failed for good on such a list. A JSON decoder now reads both; the empty lines still count as signs of life. The watch's test has such a list.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,11 +1,11 @@
 package discovery
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -18,8 +18,8 @@
 	silence = 3 * time.Second
 	// pause lies between two tries.
 	pause = 200 * time.Millisecond
-	// maxLine bounds one change.
-	maxLine = 8 << 20
+	// maxList bounds one list, with the empty lines before it: at one each 2 s they take years to add up to that.
+	maxList = 8 << 20
 )
 
 // Watcher follows the list at an address. Use New.
@@ -61,7 +61,8 @@
 	}
 }
 
-// follow reads one answer to its end, one object a line; silence ends it.
+// follow reads one answer to its end, object after object; silence ends it. The lines that come while nothing
+// changes are white space to the decoder, but they are heard.
 func (w *Watcher) follow(ctx context.Context, url string, tell func(List)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -79,22 +80,42 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answered %s", resp.Status)
 	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 0, 64<<10), maxLine)
-	for lines.Scan() {
-		quiet.Reset(w.silence)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue
-		}
+	body := &heard{Reader: resp.Body, heard: func() { quiet.Reset(w.silence) }}
+	for lists := json.NewDecoder(body); ; {
 		var l List
-		if err := json.Unmarshal(line, &l); err != nil {
+		body.left = maxList
+		err := lists.Decode(&l)
+		switch cause := context.Cause(ctx); {
+		case err == nil:
+			tell(l)
+		case cause != nil:
+			return cause
+		case errors.Is(err, io.EOF):
+			return nil
+		default:
 			return fmt.Errorf("a list that can't be read: %w", err)
 		}
-		tell(l)
 	}
-	if cause := context.Cause(ctx); cause != nil {
-		return cause
+}
+
+// heard tells of every piece that is read, and bounds what one list may take.
+type heard struct {
+	io.Reader
+	heard func()
+	left  int
+}
+
+var errLong = errors.New("longer than a list may be")
+
+// Read serves io.Reader.
+func (h *heard) Read(b []byte) (int, error) {
+	if h.left <= 0 {
+		return 0, errLong
+	}
+	n, err := h.Reader.Read(b)
+	if n > 0 {
+		h.heard()
 	}
-	return lines.Err()
+	h.left -= n
+	return n, err
 }
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -36,7 +36,7 @@
 	return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }
 }
 
-// A watch that breaks, that falls silent, or that says what can't be read is opened again from the last
+// A list may be laid out over several lines. A watch that breaks, that falls silent, or that says what can't be read is opened again from the last
 // revision that was heard; a silent one soon enough that what was missed is known within 6 s.
 func TestWatcherResumes(t *testing.T) {
 	list := func(rev int) string {
@@ -48,7 +48,7 @@
 		<-req.Context().Done()
 	}
 	a := &agent{steps: []func(http.ResponseWriter, *http.Request){
-		says(list(5)), says("\n" + list(6) + "\n\n" + list(7)), hangs, says("{not json\n"),
+		says("{\n" + list(5)[1:]), says("\n" + list(6) + "\n\n" + list(7)), hangs, says("{not json\n"),
 		func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, says(list(9)),
 	}}
 	w := New(standin.HTTP(t, a), standin.Log())
