--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,7 @@
-.PHONY: build test lint run check
+.PHONY: build test lint run check help
+
+help: ## this list
+	@sed -n 's/^\([a-z]*\):.*## /\1\t/p' Makefile
 
 build: ## the router and the adapter, into bin/
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -6,12 +9,12 @@
 test: ## all tests, with the race detector
 	go test -race -count=1 ./...
 
-lint:
+lint: ## format and vet
 	@unformatted=$$(gofmt -l .); [ -z "$$unformatted" ] || { echo "gofmt: $$unformatted"; exit 1; }
 	go vet ./...
 
-run: build ## needs the PROXY_* variables, see README.md
-	bin/sumacloft
+run: build ## the chat front of examples/, see examples/README.md
+	bin/sumacloft -config examples/operator.toml
 
 check: ## what CI runs
 	bash .ci/run
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -275,9 +275,14 @@
 	waiting := s.parked
 	s.parked = nil
 	for _, r := range waiting {
-		if !r.over {
-			s.next(r)
+		if r.over {
+			continue
+		}
+		if r.state == nil && s.now > r.aimAt { // the client may find a router that knows an engine
+			s.giveUp(r, s.set.MaxHoldOff)
+			continue
 		}
+		s.next(r)
 	}
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -763,3 +763,17 @@
 	b.must(risk(w1) > 0.5 && risk(neighbour) < 0.1 && risk(r1) < 0.1,
 		"risk of the dead %.2f, of its neighbour %.2f, of the reader %.2f", risk(w1), risk(neighbour), risk(r1))
 }
+
+// With nobody to send to, a request was kept for its whole deadline, which is a minute for some clients. From its
+// aim on nothing is won by waiting here: the client is told to try elsewhere.
+func TestNoEngineByTheAimIsRefusedThen(t *testing.T) {
+	b := newBench(t, testSettings(), nil)
+	b.arrive(1, 1, time.Minute) // its aim is 1.5 s
+	b.pass(1400 * ms)
+	b.must(b.finals(1) == 0, "answered before its aim")
+	b.pass(400 * ms)
+	b.must(count(b.log, func(a Refuse) bool { return a.Request == 1 }) == 1, "not refused soon after its aim")
+	b.arrive(2, 1, time.Minute)
+	b.give(Listed{Kind: ListWhole, Engines: fleet()})
+	b.must(b.sentTo(2) != 0, "not sent once an engine is listed")
+}
