--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,6 +45,8 @@
 	freshShare = 0.5
 	// nearBand is the difference in projected memory share within which writers count as near equals.
 	nearBand = 0.15
+	// waitCost weighs what an attempt waits at a writer beyond the usual, as a share of the aim, against memory.
+	waitCost = 2
 	// crowdShare is the projected memory share from which answers wait and streams slow down.
 	crowdShare = 0.8
 	// stepTokens is the fixed cost of a read, in tokens, so that short prompts do not look slow.
@@ -518,6 +520,10 @@
 			return
 		}
 		rank := s.projectedMemory(e) + nearBand*float64(away(e)) + r.stake*s.risk(e, r.Class)
+		if len(e.out) > 0 { // what waits shows a full memory, also where others filled it and no report tells
+			longer := max((s.now-e.out[0].sentAt).Seconds()-s.startWait(Writer), 0)
+			rank += min(waitCost*longer/r.aim().Seconds(), 1)
+		}
 		if e == r.avoid || s.mute(e, r) {
 			rank++
 		}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -777,3 +777,28 @@
 	b.give(Listed{Kind: ListWhole, Engines: fleet()})
 	b.must(b.sentTo(2) != 0, "not sent once an engine is listed")
 }
+
+// A router sees its own streams only: a writer that other routers have filled looks free to it, but what it sent
+// there does not start. Such a writer must not go on drawing the states of its cell.
+func TestWaitAtAWriterShowsItFull(t *testing.T) {
+	set := testSettings()
+	set.ReportsProbed = false
+	for _, waits := range []bool{false, true} {
+		b := newBench(t, set, fleet())
+		first := b.arrive(1, 1, 9*time.Second)
+		b.end(1, Read, false)
+		near := b.sentTo(1)
+		if !waits {
+			b.start(1)
+		}
+		b.pass(1200 * ms)
+		for id := RequestID(2); ; id++ { // one that is read at the same reader
+			if b.arrive(id, 1, 9*time.Second) != first && id < 20 {
+				continue
+			}
+			b.end(id, Read, false)
+			b.must((b.sentTo(id) == near) == !waits, "waits: %v, first at %d, then at %d", waits, near, b.sentTo(id))
+			break
+		}
+	}
+}
