--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,7 +45,7 @@
 	freshShare = 0.5
 	// nearBand is the difference in projected memory share within which writers count as near equals.
 	nearBand = 0.15
-	// waitCost weighs what an attempt waits at a writer beyond the usual, as a share of the aim, against memory.
+	// waitCost weighs what an attempt waits at a writer beyond the usual, in parts of the aim.
 	waitCost = 2
 	// crowdShare is the projected memory share from which answers wait and streams slow down.
 	crowdShare = 0.8
