Store: a call is passed on to the leader once

Seen on reading the forwarding: two nodes that each take the other for the leader, as may be for a moment in an election, would hand a call to and fro until its 5 s are over. A mark in the call's metadata now ends that with 'no leader', which etcd's clients repeat. The test asks a follower with the mark.

--- a/internal/etcd/etcd_test.go
+++ b/internal/etcd/etcd_test.go
@@ -13,6 +13,7 @@
 	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
 
 	"sumacloft/internal/discovery"
 	"sumacloft/internal/standin"
@@ -262,6 +263,11 @@
 		if err != nil || len(r.Kvs) != 1 || string(r.Kvs[0].Value) != n.addr || r.Header.Revision < rev {
 			t.Errorf("read back %v, %v", r, err)
 		}
+		if once := metadata.AppendToOutgoingContext(t.Context(), forwarded, "1"); !n.Leads() {
+			if _, err := kv.Put(once, &pb.PutRequest{Key: []byte("k")}); err == nil {
+				t.Error("a call that was passed on is passed on again")
+			}
+		}
 		if _, err := kv.Put(t.Context(), &pb.PutRequest{}); err == nil || !strings.Contains(err.Error(), "key") {
 			t.Errorf("a put without a key: %v", err)
 		}
--- a/internal/etcd/server.go
+++ b/internal/etcd/server.go
@@ -16,6 +16,7 @@
 	"go.etcd.io/etcd/api/v3/v3rpc/rpctypes"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
 
 	"sumacloft/internal/store"
 )
@@ -57,25 +58,29 @@
 	return &pb.ResponseHeader{MemberId: hashed(s.node.Self().ID), Revision: rev}
 }
 
-// leader gives a client of the node that leads.
-func (s *Server) leader() (pb.KVClient, error) {
+// forwarded marks a call that a node has passed on to the leader as it knew it.
+const forwarded = "sumacloft-forwarded"
+
+// leader gives a client of the node that leads, and the context for a call to it. A call is passed on once: nodes
+// that each take the other for the leader would else hand it to and fro.
+func (s *Server) leader(ctx context.Context) (pb.KVClient, context.Context, error) {
 	p, ok := s.node.Leader()
-	if !ok || p.ID == s.node.Self().ID {
-		return nil, rpctypes.ErrGRPCNoLeader
+	if !ok || p.ID == s.node.Self().ID || len(metadata.ValueFromIncomingContext(ctx, forwarded)) > 0 {
+		return nil, nil, rpctypes.ErrGRPCNoLeader
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.addr != p.Client {
 		conn, err := grpc.NewClient("passthrough:///"+p.Client, grpc.WithTransportCredentials(insecure.NewCredentials()))
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		if s.conn != nil {
 			_ = s.conn.Close()
 		}
 		s.conn, s.addr = conn, p.Client
 	}
-	return pb.NewKVClient(s.conn), nil
+	return pb.NewKVClient(s.conn), metadata.AppendToOutgoingContext(ctx, forwarded, "1"), nil
 }
 
 // propose has the cluster agree, here or through the leader. What went out to a leader is not sent again.
@@ -86,7 +91,7 @@
 	case err == nil:
 		return out.(R), nil
 	case errors.Is(err, store.ErrNotLeader):
-		kv, err := s.leader()
+		kv, ctx, err := s.leader(ctx)
 		if err != nil {
 			return none, err
 		}
@@ -184,7 +189,7 @@
 	}
 	if !r.Serializable {
 		if !s.node.Leads() || s.node.Fresh() != nil {
-			kv, err := s.leader()
+			kv, ctx, err := s.leader(ctx)
 			if err != nil {
 				return nil, err
 			}
