--- a/cmd/sumacloft/main.go
+++ b/cmd/sumacloft/main.go
@@ -142,9 +142,9 @@
 	}
 }
 
-func agent(addr string, revision int64, log logrus.FieldLogger) source {
+func agent(addr string, pace *discovery.Pace, from discovery.From, log logrus.FieldLogger) source {
 	return func(ctx context.Context, tell func(discovery.List)) {
-		discovery.New(addr, log).Run(ctx, revision, tell)
+		discovery.New(addr, pace, log).Run(ctx, from, tell)
 	}
 }
 
@@ -165,7 +165,11 @@
 	r.core = core.New(set, cfg.Seed, workers, log)
 	r.names = discovery.Names{Zones: cfg.Settings.Zones, Kinds: cfg.Settings.Kinds}
 	r.core.Listed(brain.ListCached, r.names.Workers(cfg.Known.Members))
-	r.source = agent(cfg.Discovery, cfg.Known.Revision, log)
+	pace := &discovery.Pace{}
+	if set.AskForList { // one discovery for all routers
+		pace = discovery.Shared(cfg.Settings.Balancers, cfg.Seed)
+	}
+	r.source = agent(cfg.Discovery, pace, discovery.From{Revision: cfg.Known.Revision, Known: cfg.Known.Complete}, log)
 	r.front = platform.New(r.core, workers, cfg.Settings.Class)
 	r.reload = func() (source, error) {
 		next, err := config.Platform(os.Getenv)
@@ -180,7 +184,7 @@
 			return nil, nil
 		}
 		cfg.Discovery = next.Discovery
-		return agent(cfg.Discovery, 0, log), nil
+		return agent(cfg.Discovery, pace, discovery.From{Moved: true}, log), nil
 	}
 	return r, nil
 }
@@ -228,7 +232,7 @@
 func operators(cfg config.Operator, log *logrus.Logger) source {
 	switch {
 	case cfg.Discovery != "":
-		return agent(cfg.Discovery, 0, log)
+		return agent(cfg.Discovery, &discovery.Pace{}, discovery.From{}, log)
 	case len(cfg.Members.Endpoints) > 0:
 		return (&etcd.Members{Endpoints: cfg.Members.Endpoints, Prefix: cfg.Members.Prefix, Log: log}).Run
 	}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -19,8 +19,6 @@
 	// fetch is how long the whole list may take. It is asked for at a start and after a move, when what the new
 	// place has to tell counts as told 4 s later; the agent answers at once or not at all.
 	fetch = time.Second
-	// pause lies between two tries.
-	pause = 200 * time.Millisecond
 	// maxList bounds one list, with the empty lines before it: at one each 2 s they take years to add up to that.
 	maxList = 8 << 20
 )
@@ -31,24 +29,37 @@
 	client  *http.Client
 	log     logrus.FieldLogger
 	silence time.Duration
-	pause   time.Duration
+	pace    *Pace
 }
 
-// New makes a Watcher of the agent at host:port.
-func New(addr string, log logrus.FieldLogger) *Watcher {
+// New makes a Watcher of the agent at host:port, which is asked at that pace.
+func New(addr string, pace *Pace, log logrus.FieldLogger) *Watcher {
 	return &Watcher{url: "http://" + addr + "/catalog/members", client: &http.Client{Transport: &http.Transport{}},
-		log: log, silence: silence, pause: pause}
+		log: log, silence: silence, pace: pace}
 }
 
-// Run hands every list and change after the revision to tell, in order, until ctx ends. Each round asks for
-// the whole list first if the last one gave no revision, then watches from the revision it has.
-func (w *Watcher) Run(ctx context.Context, revision int64, tell func(List)) {
+// From is where a watch begins.
+type From struct {
+	Revision int64
+	Known    bool // the list of that revision is known: the whole list need not be asked for, where that has a price
+	Moved    bool // another place was followed before
+}
+
+// Run hands every list and change after the given one to tell, in order, until ctx ends. Each round asks for
+// the whole list first if none is known yet, then watches from the revision it has.
+func (w *Watcher) Run(ctx context.Context, from From, tell func(List)) {
 	defer w.client.CloseIdleConnections()
-	fetched := false
-	for ctx.Err() == nil {
+	revision, fetched := from.Revision, from.Known && w.pace.every > 0
+	for wait := w.pace.first(from.Moved); ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
 		var err error
+		began, watched := time.Now(), fetched
 		if !fetched {
-			err = w.follow(ctx, w.url, min(fetch, w.silence), func(l List) {
+			err = w.follow(ctx, w.url, w.pace.patience(), func(l List) {
 				revision, fetched, l.Complete = l.Revision, true, true
 				tell(l)
 			})
@@ -58,12 +69,9 @@
 				tell(l)
 			})
 		}
-		if err != nil && ctx.Err() == nil {
-			w.log.WithError(err).Warn("discovery: the watch ended")
-			select {
-			case <-ctx.Done():
-			case <-time.After(w.pause):
-			}
+		if wait = 0; (err != nil || watched) && ctx.Err() == nil { // also an answer that ends at once may do so for ever
+			wait = w.pace.again(time.Since(began))
+			w.log.WithError(err).WithField("pause", wait).Warn("discovery: the watch ended")
 		}
 	}
 }
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -51,15 +51,15 @@
 		says("{\n" + list(5)[1:]), says("\n" + list(6) + "\n\n" + list(7)), hangs, says("{not json\n"),
 		func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, says(list(9)),
 	}}
-	w := New(standin.HTTP(t, a), standin.Log())
-	w.silence, w.pause = 60*time.Millisecond, time.Millisecond
+	w := New(standin.HTTP(t, a), &Pace{}, standin.Log())
+	w.silence = 60 * time.Millisecond
 	ctx, stop := context.WithCancel(context.Background())
 	var mu sync.Mutex
 	var heard []int64
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		w.Run(ctx, 3, func(l List) { mu.Lock(); heard = append(heard, l.Revision); mu.Unlock() })
+		w.Run(ctx, From{Revision: 3}, func(l List) { mu.Lock(); heard = append(heard, l.Revision); mu.Unlock() })
 	}()
 	standin.Eventually(t, 5*time.Second, "revision 9 is heard and watched on", func() bool {
 		mu.Lock()
@@ -104,10 +104,10 @@
 func TestSilentAtFirst(t *testing.T) {
 	a := &agent{steps: []func(http.ResponseWriter, *http.Request){
 		func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() }, says(`{"revision":5}`)}}
-	w := New(standin.HTTP(t, a), standin.Log())
+	w := New(standin.HTTP(t, a), &Pace{}, standin.Log())
 	ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
 	defer stop()
-	w.Run(ctx, 9, func(l List) {
+	w.Run(ctx, From{Revision: 9, Moved: true}, func(l List) {
 		if l.Revision == 5 && l.Complete {
 			stop()
 		}
