--- a/brain/api.go
+++ b/brain/api.go
@@ -70,14 +70,13 @@
 	Classes []Class
 	Kinds   []Kind
 
-	MaxAttempts   int // for each request; 0: no limit
-	MaxHoldOff    time.Duration
-	HoldOff       bool // refusals may carry advice on when to return
-	Probing       bool
-	Cancelling    bool
-	WritersRead   bool // a writer reads the prompt itself when there is no state
-	AskForList    bool // the list of engines comes only when asked for
-	ReportsProbed bool // probe answers carry load reports
+	MaxAttempts int // for each request; 0: no limit
+	MaxHoldOff  time.Duration
+	HoldOff     bool // refusals may carry advice on when to return
+	Probing     bool
+	Cancelling  bool
+	WritersRead bool // a writer reads the prompt itself when there is no state
+	AskForList  bool // the list of engines comes only when asked for
 
 	Step          time.Duration // shortest time between two calls of Handle with different times
 	PinLimit      time.Duration // state with no attempt out must be taken or released within this time
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,9 +1,9 @@
 // The interface of this module stands in api.go. A request's life: it arrives and a reader is chosen by
-// rendezvous hashing, looked up first where nothing fresh is known of it (read stage); with no reader or
-// writer to serve it in time it is refused (admission); once the read has ended a writer is chosen and the
-// state waits for its pull under a lease, which the writer's signs of life renew (write stage, leases); a
-// failed attempt leads to another or to a final answer (retries and endings). What outcomes and reports say
-// of engines is gathered under health, what a starting engine may be sent under cold starts.
+// rendezvous hashing (read stage); with no reader or writer to serve it in time it is refused (admission); once
+// the read has ended a writer is chosen and the state waits for its pull under a lease, which the writer's signs
+// of life renew (write stage, leases); a failed attempt leads to another or to a final answer (retries and
+// endings). What outcomes and reports say of engines is gathered under health, what a starting engine may be
+// sent under cold starts.
 package brain
 
 import (
@@ -35,16 +35,12 @@
 	// spillHops is how far down its order a beginning may spill, and an engine of another zone counts as so
 	// many more: past that each read starts from nothing, and the work that this makes feeds the jam.
 	spillHops, spillAway = 6, 1
-	// lookHops is how many engines of its order a request looks up by a probe at each stage.
-	lookHops = 3
-	// lookShare of the aim is how long a request waits for such an answer.
-	lookShare = 0.03
+	// muteLeast of the aim is how long an answer that shows nothing of a queue takes at most.
+	muteLeast = 0.03
 	// muteShare of the usual time of a probe's answer is when an engine counts as mute.
 	muteShare = 4
 	// probeTime is what a probe is thought to take before any was answered: as long as it is waited for at most.
 	probeTime = 250 * time.Millisecond
-	// freshShare of the aim is the age up to which a report needs no probe.
-	freshShare = 0.5
 	// nearBand is the difference in projected memory share within which writers count as near equals.
 	nearBand = 0.15
 	// waitCost weighs what an attempt waits at a writer beyond the usual, in parts of the aim.
@@ -87,8 +83,8 @@
 	lostShare, lostTimes, passedTimes = 0.3, 10.0, 3.0
 	// keptLimit bounds the beginnings remembered for an engine.
 	keptLimit = 2048
-	// tickKey marks the scheduler's own timer, lookKey the end of a look-up; request ids stay under them.
-	tickKey, lookKey = 1 << 63, 1 << 62
+	// tickKey marks the scheduler's own timer; request ids stay under it.
+	tickKey = 1 << 63
 )
 
 // New makes a scheduler. The seed settles the draws among equals: routers need different ones, or those with
@@ -169,7 +165,6 @@
 
 // next takes a request that has no attempt out one step on.
 func (s *Scheduler) next(r *request) {
-	r.looking = nil
 	pinned := r.state != nil && s.now-r.stateAt > share(pinShare, s.set.PinLimit)
 	if s.now >= r.deadline || !s.mayRepeat(r) || pinned { // pinned: a new read would only add to the load
 		s.giveUp(r, s.set.MaxHoldOff)
@@ -252,15 +247,8 @@
 		s.onTick()
 		return
 	}
-	r := s.requests[RequestID(ev.Key&^lookKey)]
-	if r == nil || r.over || r.started {
-		return
-	}
-	if ev.Key&lookKey != 0 {
-		if r.looking != nil && s.now >= r.lookTill {
-			s.next(r)
-		}
-	} else if s.now >= r.deadline {
+	r := s.requests[RequestID(ev.Key)]
+	if r != nil && !r.over && !r.started && s.now >= r.deadline {
 		s.giveUp(r, s.set.MaxHoldOff)
 	}
 }
@@ -321,9 +309,6 @@
 		r.home = list[0]
 	}
 	for _, e := range list {
-		if s.lookUp(r, e) {
-			return
-		}
 		// a jam at its own writers speaks against a reader too, though no more than a long queue
 		cost := s.projectedWait(e, r) + min(s.startAfter(e), limit) + 2*failCost*limit*s.risk(e, r.Class)
 		if e == r.avoid || s.mute(e, r) || (e.role != Reader && s.projectedMemory(e) > crowdShare) {
@@ -439,38 +424,15 @@
 	})
 }
 
-// lookUp asks an engine of which nothing fresh is known for a sign of life and a report, before work goes
-// there; it tells whether the request waits for the answer. At a large fleet a router hears from most engines
-// less than once a queue's life: its own outcomes alone are no news. A probe has a price, so only the
-// engines that the request would go to next are asked, one at a time, and few of them.
-func (s *Scheduler) lookUp(r *request, e *engine) bool {
-	fresh := share(freshShare, r.aim())
-	known := e.loadAt > 0 && s.now-e.loadAt <= fresh
-	pinned := r.state != nil && s.now-r.stateAt > share(pinShare/2, s.set.PinLimit) // no time is left to ask
-	if !s.set.Probing || !s.set.ReportsProbed || known || pinned || r.looks >= lookHops || e == r.avoid {
-		return false
-	}
-	if !e.probing && (e.probedAt == 0 || s.now-e.probedAt > fresh) {
-		s.probe(e)
-	}
-	if !e.probing || s.now-e.probedAt >= s.lookWait(r) {
-		return false
-	}
-	r.looks++
-	r.looking, r.lookTill = e, e.probedAt+s.lookWait(r)
-	e.lookers = append(e.lookers, r)
-	s.do(SetTimer{At: r.lookTill, Key: lookKey | uint64(r.Request)})
-	return true
-}
-
-func (s *Scheduler) lookWait(r *request) time.Duration {
-	return max(share(lookShare, r.aim()), s.set.Step)
+// atOnce is how long an answer takes at most that has not waited.
+func (s *Scheduler) atOnce(r *request) time.Duration {
+	return max(share(muteLeast, r.aim()), s.set.Step)
 }
 
 // mute tells whether the engine owes an answer to a probe for longer than probes take. Where probes wait like
 // requests an answer takes as long as a queue, and its lack for a moment says nothing.
 func (s *Scheduler) mute(e *engine, r *request) bool {
-	return e.probedAt > e.lastLife && s.now-e.probedAt >= max(s.lookWait(r), share(muteShare, s.answerTime))
+	return e.probedAt > e.lastLife && s.now-e.probedAt >= max(s.atOnce(r), share(muteShare, s.answerTime))
 }
 
 // projectedWait is the time, in seconds, until the engine would have read the prompt; an attempt that is out
@@ -541,8 +503,7 @@
 // --- Write stage and leases.
 
 // write sends the waiting state's request to the writer with the lowest projected memory; near equals rank by
-// the reader's cell, then its zone, then by a draw of our own. One that is looked up and found at ease is
-// taken without looking at more.
+// the reader's cell, then its zone, then by a draw of our own. The first that is at ease is taken.
 func (s *Scheduler) write(r *request) {
 	list := s.usable(r, func(e *engine) bool { return e.role == Writer })
 	if len(list) == 0 {
@@ -562,9 +523,6 @@
 	var best *engine
 	bestRank := math.Inf(1)
 	for _, e := range list {
-		if s.lookUp(r, e) {
-			return
-		}
 		rank := s.projectedMemory(e) + nearBand*float64(away(e)) + r.stake*s.risk(e, r.Class)
 		if r.way(e) == far { // a slow link holds the state, and the reader's memory, for longer
 			longer := (s.startWait(Writer, far) - s.startWait(Writer, r.state.Cell)) / r.aim().Seconds()
@@ -617,7 +575,7 @@
 }
 
 func (s *Scheduler) send(r *request, e *engine) {
-	r.at, r.sentAt, r.called, r.looks = e, s.now, false, 0
+	r.at, r.sentAt, r.called = e, s.now, false
 	r.whole = r.state == nil && e.role != Reader
 	r.ahead, r.work = s.backlog(e), 0
 	p, size := &s.pools[e.role], r.PromptTokens
@@ -896,7 +854,7 @@
 			break
 		}
 		s.note(e, class, 1)
-		if r == nil || ev.Took < s.lookWait(r) { // at once: no room; later: it sorts by class
+		if r == nil || ev.Took < s.atOnce(r) { // at once: no room; later: it sorts by class
 			e.fullTill = s.now + s.tick
 			if e.role != Reader && r != nil { // no room: a start would have taken as long as the aim
 				s.learnStart(e, r, r.aim(), gain)
@@ -956,13 +914,6 @@
 			}
 		}
 	}
-	lookers := e.lookers
-	e.lookers = nil
-	for _, r := range lookers {
-		if !r.over && r.looking == e {
-			s.next(r)
-		}
-	}
 }
 
 // --- Cold starts.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -22,8 +22,8 @@
 			{Aim: 1500 * ms, Deadline: 6000 * ms, Worth: 3, Effect: Unsafe},
 			{Aim: 800 * ms, Deadline: 3000 * ms, Worth: 1, Effect: Keyed, Scope: ScopeCell, RepeatWindow: 2000 * ms},
 		},
-		Kinds: []Kind{{Reader, 200000}, {Writer, 150000}, {Mixed, 150000}}, ReportsProbed: true,
-		Step: 2 * ms, PinLimit: 500 * ms, ColdShare: 0.25, WarmAfter: 14 * time.Second,
+		Kinds: []Kind{{Reader, 200000}, {Writer, 150000}, {Mixed, 150000}},
+		Step:  2 * ms, PinLimit: 500 * ms, ColdShare: 0.25, WarmAfter: 14 * time.Second,
 		OverloadRatio: 2.5, OverloadFor: 1500 * ms, AskWithin: 10 * time.Second}
 }
 
@@ -637,7 +637,7 @@
 		probes += count[Probe](b.log, nil)
 		sends += count[Send](b.log, nil)
 	}
-	if sends == 0 || probes > sends*lookHops {
+	if sends == 0 || probes > sends*3 {
 		t.Errorf("%d probes for %d sends", probes, sends)
 	}
 }
@@ -660,8 +660,8 @@
 // Settings and lists with absent or absurd figures lead to no panic.
 func TestAbsurdSettings(t *testing.T) {
 	engines := []Engine{{ID: 1, Kind: 7}, {ID: 2, Kind: -1}, {ID: 3, Kind: 0, Weight: -4, StartedAt: -time.Second}, {ID: 4, Kind: 1}}
-	for _, set := range []Settings{{}, {Kinds: make([]Kind, 2), Probing: true, ReportsProbed: true},
-		{Kinds: []Kind{{Reader, -1}, {Writer, 0}}, Classes: []Class{{}}, PinLimit: -1, Probing: true, ReportsProbed: true}} {
+	for _, set := range []Settings{{}, {Kinds: make([]Kind, 2), Probing: true},
+		{Kinds: []Kind{{Reader, -1}, {Writer, 0}}, Classes: []Class{{}}, PinLimit: -1, Probing: true}} {
 		b := newBench(t, set, engines)
 		b.load = map[EngineID]Load{3: {Known: true, MemoryShare: -3, WaitTokens: -5}, 4: {Known: true, Queue: -2}}
 		for id := RequestID(1); id < 9; id++ {
@@ -782,7 +782,6 @@
 // there does not start. Such a writer must not go on drawing the states of its cell.
 func TestWaitAtAWriterShowsItFull(t *testing.T) {
 	set := testSettings()
-	set.ReportsProbed = false
 	for _, waits := range []bool{false, true} {
 		b := newBench(t, set, fleet())
 		first := b.arrive(1, 1, 9*time.Second)
@@ -1046,7 +1045,6 @@
 // routers with a read each must wait. One that has seen probes answered at once takes the same silence for what it is.
 func TestProbeThatWaitsCallsNothingOff(t *testing.T) {
 	set := testSettings()
-	set.ReportsProbed = false
 	off := 0
 	for i := range 40 {
 		b := &bench{T: t, s: New(set, uint64(i)*7919), now: time.Second}
--- a/brain/state.go
+++ b/brain/state.go
@@ -73,7 +73,6 @@
 	passed   time.Duration // when the newest of the attempts that it has read or begun to answer was sent
 	probedAt time.Duration
 	probing  bool
-	lookers  []*request    // wait for the answer of the probe
 	fullTill time.Duration // rests until then, having turned an attempt away
 	away     int           // in the order of a request's readers: 0 own zone, 1 another, 2 last
 	coldTill time.Duration
@@ -105,9 +104,6 @@
 	called   bool // the attempt was cancelled
 	started  bool
 	over     bool    // the final answer is given, or none is owed
-	looking  *engine // of the look-up that it waits for; nil: none
-	lookTill time.Duration
-	looks    int     // at this stage
 	home     *engine // the first of its readers in hash order
 	state    *engine // the reader that holds the state; nil: none
 	stateAt  time.Duration
