--- a/brain/brain.go
+++ b/brain/brain.go
@@ -93,7 +93,7 @@
 	s := &Scheduler{set: set, seed: seed, engines: map[EngineID]*engine{}, requests: map[RequestID]*request{},
 		tallies: map[group]*tally{}, answerTime: probeTime}
 	for i := range s.pools {
-		s.pools[i].starts = map[int]starts{}
+		s.pools[i].starts, s.pools[i].served, s.pools[i].warm = map[int]starts{}, map[int]float64{}, map[int]float64{}
 	}
 	s.tick = leaseMax / leaseChecks
 	if !set.HoldOff {
@@ -256,7 +256,7 @@
 func (s *Scheduler) onTick() {
 	s.do(SetTimer{At: s.now + s.tick, Key: tickKey})
 	for i := range s.pools {
-		s.pools[i].warm = 0
+		clear(s.pools[i].warm)
 	}
 	for _, e := range s.order {
 		s.checkLeases(e)
@@ -268,7 +268,8 @@
 			s.learnStart(e, r, max(s.now-r.sentAt, known), poolGain)
 		}
 		if e.Availability == Ready && s.now >= e.coldTill {
-			s.pools[e.role].warm += e.sized()
+			s.pools[e.role].warm[e.Zone] += e.sized()
+			s.pools[e.role].warm[allZones] += e.sized()
 		}
 	}
 	s.order = slices.DeleteFunc(s.order, s.forgotten) // their last stream has ended since they left the list
@@ -408,7 +409,7 @@
 		list = s.usable(r, func(*engine) bool { return true })
 	}
 	key := cmp.Or(r.Prefix, r.Session, uint64(r.Request))
-	score := func(e *engine) float64 { return e.share / -math.Log(unit(key, uint64(e.ID))) }
+	score := func(e *engine) float64 { return e.share * s.warmth(e) / -math.Log(unit(key, uint64(e.ID))) }
 	for _, e := range list {
 		e.away = max(2*one(e == r.avoid || s.risk(e, r.Class) > ejectRisk), one(e.Zone != s.set.Zone))
 	}
@@ -930,27 +931,39 @@
 
 // hasRoom tells whether an engine that has just started can take the request within our part of its budget:
 // a bucket that fills at the rate at which the engine may be sent work at its worst, of which our part is
-// what warm peers serve for us. A part of less than one request makes the next one wait longer.
+// what warm peers of its zone serve for us: our requests stay in our own zone, and a part counted over the warm ones
+// of all zones left most of it to routers that send nothing there. A part of less than one request makes the next one wait longer.
 func (s *Scheduler) hasRoom(e *engine, r *request) bool {
 	if s.now >= e.coldTill {
 		return true
 	}
-	p := &s.pools[e.role]
-	served := p.served * fade(s.now-p.servedAt, streamMemory)
+	p, zone := &s.pools[e.role], e.Zone
+	if p.warm[zone] == 0 { // a whole zone has started anew
+		zone = allZones
+	}
+	served := func(zone int) float64 { return p.served[zone] * fade(s.now-p.servedAt, streamMemory) }
 	// Where no warm one serves us, as after our own start, no rate is known: one request at a time follows
 	// the engine's own pace, and keeps a fleet in use that is all cold, or fails where it is warm.
-	if served < p.reading && len(e.out)+len(e.streams) == 0 {
+	if served(allZones) < p.reading && len(e.out)+len(e.streams) == 0 {
 		return true
 	}
-	left := (e.coldTill - s.now).Seconds() / s.set.WarmAfter.Seconds() // it warms by the time since its start
-	capacity := s.set.ColdShare + (1-s.set.ColdShare)*(1-min(left, 1))
-	rate := coldMargin * s.set.OverloadRatio * capacity * e.sized() / max(p.warm, 1) * served /
+	rate := coldMargin * s.set.OverloadRatio * s.warmth(e) * e.sized() / max(p.warm[zone], 1) * served(zone) /
 		streamMemory.Seconds()
 	e.coldRoom = min(e.coldRoom+rate*(s.now-e.coldAt).Seconds(), rate*s.set.OverloadFor.Seconds()/2)
 	e.coldAt = s.now
 	return e.coldRoom >= 0
 }
 
+// warmth is the least share of its capacity that an engine has by the time since its start. Prefix keys come to a
+// starting reader by it, at all routers alike: what it can't take yet is read and kept in one other place.
+func (s *Scheduler) warmth(e *engine) float64 {
+	if s.now >= e.coldTill {
+		return 1
+	}
+	left := (e.coldTill - s.now).Seconds() / s.set.WarmAfter.Seconds()
+	return s.set.ColdShare + (1-s.set.ColdShare)*(1-min(left, 1))
+}
+
 // countServed counts what warm engines serve: what a cold one does tells nothing of their rate.
 func (s *Scheduler) countServed(e *engine, r *request) {
 	e.passed = max(e.passed, r.sentAt)
@@ -958,7 +971,11 @@
 		return
 	}
 	p := &s.pools[e.role]
-	p.served = p.served*fade(s.now-p.servedAt, streamMemory) + r.size(e)
+	for zone := range p.served {
+		p.served[zone] *= fade(s.now-p.servedAt, streamMemory)
+	}
+	p.served[e.Zone] += r.size(e)
+	p.served[allZones] += r.size(e)
 	p.servedAt = s.now
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -941,7 +941,8 @@
 		b := newBench(t, testSettings(), fleet())
 		b.now = 20 * time.Second
 		p := &b.s.pools[Writer]
-		p.reading, p.served, p.servedAt, p.warm = 2000, 20000, b.now, 1
+		p.reading, p.servedAt = 2000, b.now
+		p.served, p.warm = map[int]float64{0: 20000, allZones: 20000}, map[int]float64{0: 1, allZones: 1}
 		b.s.engines[w2].coldTill, b.s.engines[w2].coldAt = b.now-age+testSettings().WarmAfter, b.now
 		r := &request{Arrived: Arrived{PromptTokens: 2000, MaxTokens: 300}}
 		for range 200 {
@@ -1063,3 +1064,32 @@
 	b.silence(1200*ms, b.arrive(1, 1, 6*time.Second))
 	b.must(has[Cancel](b.log), "probes are known to be answered at once, and one was not")
 }
+
+// Requests stay in a router's own zone, so a starting reader's part of the budget is counted by what warm peers of that
+// zone serve. Counted over all zones' warm readers, which served nothing for these routers, four in five of
+// join+vast's new readers stood idle beside crowded ones. The budget of all routers together still holds.
+func TestColdBudgetIsCountedByZone(t *testing.T) {
+	var engines []Engine
+	for i := range 24 { // two warm readers in the routers' own zone, ten in each of two others
+		engines = append(engines, Engine{ID: EngineID(100 + i), Cell: i / 4, Kind: 0, Zone: (i + 8) / 10, Weight: 1})
+	}
+	engines = append(engines, Engine{ID: 200, Cell: 1, Kind: 1, Weight: 1}, Engine{ID: 201, Cell: 2, Kind: 1, Weight: 1})
+	cold := Engine{ID: 150, Cell: 1, Kind: 0, Weight: 1}
+	const length = 8 * time.Second
+	all := manyRouters(t, 80, engines, 8*time.Second, length, func(now time.Duration) []Engine {
+		cold.StartedAt = now
+		return []Engine{cold}
+	})
+	toCold, toWarm := 0, 0
+	for _, b := range all {
+		toCold += count(b.log, func(a Send) bool { return a.Engine == cold.ID })
+		toWarm += count(b.log, func(a Send) bool { return a.Engine < cold.ID && engines[a.Engine-100].Zone == 0 })
+	}
+	peer := float64(toWarm) / 2
+	if float64(toCold) < peer/8 {
+		t.Errorf("a starting reader got %d reads, a warm one of its zone %.0f", toCold, peer)
+	}
+	if most := 2.5 * (0.25 + 0.75*length.Seconds()/14/2) * peer; float64(toCold) > most {
+		t.Errorf("a starting reader got %d reads, its budget is %.0f", toCold, most)
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -34,15 +34,15 @@
 
 // pool is what a role's engines have in common.
 type pool struct {
-	time     float64        // mean seconds of a read
-	tokens   float64        // and mean tokens ahead of its end
-	memory   float64        // mean reported share of memory
-	reading  float64        // mean tokens that a prompt leaves to be read
-	waiting  float64        // mean reported tokens that wait
-	starts   map[int]starts // of states of the writer's own cell, by cell; far: of others
-	served   float64        // decayed sum of work served for us
+	time     float64         // mean seconds of a read
+	tokens   float64         // and mean tokens ahead of its end
+	memory   float64         // mean reported share of memory
+	reading  float64         // mean tokens that a prompt leaves to be read
+	waiting  float64         // mean reported tokens that wait
+	starts   map[int]starts  // of states of the writer's own cell, by cell; far: of others
+	served   map[int]float64 // decayed sum of work served for us, by zone and for allZones
 	servedAt time.Duration
-	warm     float64 // engines that are ready and past their warm-up
+	warm     map[int]float64 // engines that are ready and past their warm-up, likewise
 }
 
 // starts is what is known of the time from a send to the start of an answer: mean seconds, as of a time.
@@ -55,6 +55,9 @@
 // slower than those within.
 const far = math.MinInt
 
+// allZones stands for the zones together.
+const allZones = math.MinInt
+
 // way is where the request's state comes from as seen from an engine: the cell that they share, or far.
 func (r *request) way(e *engine) int {
 	if r.state != nil && r.state.Cell != e.Cell {
