--- a/brain/brain.go
+++ b/brain/brain.go
@@ -83,6 +83,8 @@
 	lostShare, lostTimes, passedTimes = 0.3, 10.0, 3.0
 	// keptLimit bounds the beginnings remembered for an engine.
 	keptLimit = 2048
+	// stayKey draws the keys that stay in a zone, as if it were an engine.
+	stayKey = 1
 	// tickKey marks the scheduler's own timer; request ids stay under it.
 	tickKey = 1 << 63
 )
@@ -339,6 +341,22 @@
 	s.send(r, best)
 }
 
+// ableZone is the part of the prefix keys that stay in our zone: all, unless its readers are colder than those of
+// the others. A zone that comes back all cold would else read all of its prompts while the others have room.
+func (s *Scheduler) ableZone() float64 {
+	var own, all, ownAble, allAble float64
+	for _, e := range s.order {
+		if e.Availability != Ready || e.role == Writer {
+			continue
+		}
+		all, allAble = all+e.share, allAble+e.share*s.warmth(e)
+		if e.Zone == s.set.Zone {
+			own, ownAble = own+e.share, ownAble+e.share*s.warmth(e)
+		}
+	}
+	return (ownAble + 1e-9) / (own + 1e-9) * all / max(allAble, 1e-9)
+}
+
 // admitLimit is the wait, in seconds, from which a request is turned away. It guards against any overload,
 // whatever its cause; it can do harm just after a jam, so what was seen of it fades.
 func (s *Scheduler) admitLimit(r *request) float64 {
@@ -410,8 +428,9 @@
 	}
 	key := cmp.Or(r.Prefix, r.Session, uint64(r.Request))
 	score := func(e *engine) float64 { return e.share * s.warmth(e) / -math.Log(unit(key, uint64(e.ID))) }
+	stays := unit(key, stayKey) < s.ableZone()
 	for _, e := range list {
-		e.away = max(2*one(e == r.avoid || s.risk(e, r.Class) > ejectRisk), one(e.Zone != s.set.Zone))
+		e.away = max(2*one(e == r.avoid || s.risk(e, r.Class) > ejectRisk), one(stays && e.Zone != s.set.Zone))
 	}
 	slices.SortStableFunc(list, func(a, b *engine) int {
 		return cmp.Or(a.away-b.away, cmp.Compare(score(b), score(a)))
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1093,3 +1093,41 @@
 		t.Errorf("a starting reader got %d reads, its budget is %.0f", toCold, most)
 	}
 }
+
+// When a zone comes back all cold, its routers must not read all of their prompts there while the other zones have
+// room: on zone+vast the cold readers took 31 reads in 2 s with a p50 of 2.5 s, the warm ones 33 with one of 0.08 s. The
+// routers agree on what goes elsewhere, and it comes back as the zone warms up.
+func TestZoneThatReturnsColdIsSpared(t *testing.T) {
+	var engines []Engine
+	for i := range 12 {
+		engines = append(engines, Engine{ID: EngineID(100 + i), Cell: i / 2, Kind: i % 2, Zone: i / 4, Weight: 1})
+	}
+	set := testSettings()
+	back := 30 * time.Second
+	for i := range engines[:4] {
+		engines[i].StartedAt = back
+	}
+	own := func(after time.Duration) (sends, agreed int) {
+		home := map[uint64]EngineID{}
+		for i := range 40 {
+			b := &bench{T: t, s: New(set, uint64(i)*7919), now: back + after}
+			b.give(Listed{Kind: ListCached, Engines: engines})
+			id, prefix := RequestID(i+1), 1+uint64(i)%20
+			b.give(Arrived{Request: id, Session: uint64(i), Prefix: prefix, PromptTokens: 2000, PrefixTokens: 1500, MaxTokens: 300, Left: 3 * time.Second})
+			sends += one(b.sentTo(id) < 104)
+			agreed += one(home[prefix] == b.sentTo(id))
+			home[prefix] = b.sentTo(id)
+		}
+		return sends, agreed
+	}
+	sends, agreed := own(time.Second)
+	if sends == 0 || sends > 24 {
+		t.Errorf("%d of 40 prompts are read in a zone that is a quarter warm", sends)
+	}
+	if agreed != 20 {
+		t.Errorf("routers agree on the reader of %d in 20 beginnings", agreed)
+	}
+	if sends, _ := own(15 * time.Second); sends != 40 {
+		t.Errorf("%d of 40 prompts are read in a zone that is warm again", sends)
+	}
+}
