--- a/brain/api.go
+++ b/brain/api.go
@@ -67,6 +67,7 @@
 // Settings are fixed for the life of a Scheduler.
 type Settings struct {
 	Zone    int // of this router
+	Routers int // that share the engines, with this one; 0: unknown
 	Classes []Class
 	Kinds   []Kind
 
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -516,8 +516,21 @@
 	if p.tokens == 0 {
 		p.time, p.tokens = took.Seconds(), tokens
 	}
-	p.time += poolGain * (took.Seconds() - p.time)
-	p.tokens += poolGain * (tokens - p.tokens)
+	weight := poolGain
+	if took.Seconds()*p.tokens < p.time*tokens { // a slow read may have waited behind what others sent
+		weight = s.early()
+	}
+	p.time += weight * (took.Seconds() - p.time)
+	p.tokens += weight * (tokens - p.tokens)
+}
+
+// early is the weight of a sample in a pool's mean: greater while this router has seen few requests against its
+// peers. At a large fleet that is most of a day, and the first sample alone must not turn away what follows.
+func (s *Scheduler) early() float64 {
+	if s.seen < s.set.Routers/4 {
+		return gain
+	}
+	return poolGain
 }
 
 // --- Write stage and leases.
@@ -694,7 +707,7 @@
 		r.avoid = nil
 		s.learnPace(e, r, ev.Took, max(r.PromptTokens-ev.Kept, 1))
 		if e == r.home && e.keeps(r) == 0 && r.PromptTokens > 0 {
-			s.found += poolGain * (min(ev.Kept/r.PromptTokens, 1) - s.found)
+			s.found += s.early() * (min(ev.Kept/r.PromptTokens, 1) - s.found)
 		}
 		s.countServed(e, r)
 		e.keep(r)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1131,3 +1131,34 @@
 		t.Errorf("%d of 40 prompts are read in a zone that is warm again", sends)
 	}
 }
+
+// One read that waited behind what other routers sent must not rule a router's first half minute: on join+vast it made
+// 0.6 ms of a token, and 14 to 25 long prompts were refused in 2 s while readers were idle and had most of them kept. In a
+// small fleet, whose routers see enough, a pool's mean moves as before.
+func TestFirstSlowReadRefusesNobody(t *testing.T) {
+	refused := func(routers int) (n int) {
+		set := testSettings()
+		set.Routers = routers
+		for i := range 80 {
+			b := &bench{T: t, s: New(set, uint64(i)*7919), now: time.Second}
+			b.give(Listed{Kind: ListCached, Engines: fleet()})
+			for id, took := range []time.Duration{400 * ms, 30 * ms, 30 * ms, 30 * ms, 30 * ms, 30 * ms} {
+				b.give(Arrived{Request: RequestID(id + 1), Session: uint64(id), Prefix: uint64(100 + id), PromptTokens: 2000,
+					PrefixTokens: 1500, MaxTokens: 300, Left: 3 * time.Second})
+				b.give(Ended{Request: RequestID(id + 1), Engine: b.sentTo(RequestID(id + 1)), Result: Read, Took: took, Kept: 1700})
+				b.start(RequestID(id + 1))
+				b.end(RequestID(id+1), Served, false)
+				b.pass(time.Second)
+			}
+			b.give(Arrived{Request: 50, Class: 1, Session: 50, Prefix: 9, PromptTokens: 9000, PrefixTokens: 6000, MaxTokens: 300, Left: 6 * time.Second})
+			n += count(b.log, func(a Refuse) bool { return a.Request == 50 })
+		}
+		return n
+	}
+	if n := refused(80); n > 0 {
+		t.Errorf("%d of 80 routers refused a long prompt for one slow read", n)
+	}
+	if n := refused(4); n == 0 {
+		t.Error("the test's slow read is not slow enough to show anything")
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -12,6 +12,9 @@
 	if err != nil || s.Balancers != 2 || s.Family.PinLimitMs != 500 || s.Registry != "automatic" {
 		t.Fatalf("%+v, %v", s, err)
 	}
+	if set, err := s.Brain(); err != nil || set.Routers != 2 {
+		t.Errorf("%+v, %v", set, err)
+	}
 	for _, bad := range []string{"", "{", `{"balancers": "two"}`, `{"balancers": 0}`, "[]"} {
 		if _, err := ParseSettings([]byte(bad)); err == nil {
 			t.Errorf("%q was accepted", bad)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -93,7 +93,7 @@
 // Brain turns the settings into the module's.
 func (s Settings) Brain() (brain.Settings, error) {
 	out := brain.Settings{
-		Zone: s.Locality, MaxAttempts: s.Bounds.MostTries,
+		Zone: s.Locality, Routers: s.Balancers, MaxAttempts: s.Bounds.MostTries,
 		MaxHoldOff: Millis(s.Bounds.MaxRetryAfterMs), HoldOff: s.Bounds.RetryAfter, Probing: s.Bounds.Probing,
 		Cancelling: s.Bounds.Cancelling, WritersRead: s.Family.SelfPrefill,
 		AskForList: s.Registry == "subscribe",
