--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,9 +1,9 @@
 // The interface of this module stands in api.go. A request's life: it arrives and a reader is chosen by
-// rendezvous hashing (read stage); with no reader or writer to serve it in time it is refused (admission); once
-// the read has ended a writer is chosen and the state waits for its pull under a lease, which the writer's signs
-// of life renew (write stage, leases); a failed attempt leads to another or to a final answer (retries and
-// endings). What outcomes and reports say of engines is gathered under health, what a starting engine may be
-// sent under cold starts.
+// rendezvous hashing (read stage); with no reader or writer to serve it in time it is refused (admission);
+// once the read has ended a writer is chosen and the state waits for its pull under a lease, which signs of
+// life of the writer renew (write stage, leases); a failed attempt leads to another or to a final answer
+// (retries and endings). What outcomes and reports say of engines is gathered under health, what a starting
+// engine may be sent under cold starts.
 package brain
 
 import (
@@ -39,7 +39,7 @@
 	muteLeast = 0.03
 	// muteShare of the usual time of a probe's answer is when an engine counts as mute.
 	muteShare = 4
-	// probeTime is what a probe is thought to take before any was answered: as long as it is waited for at most.
+	// probeTime is what a probe is thought to take before any was answered: all that it may take.
 	probeTime = 250 * time.Millisecond
 	// nearBand is the difference in projected memory share within which writers count as near equals.
 	nearBand = 0.15
@@ -95,7 +95,8 @@
 	s := &Scheduler{set: set, seed: seed, engines: map[EngineID]*engine{}, requests: map[RequestID]*request{},
 		tallies: map[group]*tally{}, answerTime: probeTime}
 	for i := range s.pools {
-		s.pools[i].starts, s.pools[i].served, s.pools[i].warm = map[int]starts{}, map[int]float64{}, map[int]float64{}
+		s.pools[i].starts = map[int]starts{}
+		s.pools[i].served, s.pools[i].warm = map[int]float64{}, map[int]float64{}
 	}
 	s.tick = leaseMax / leaseChecks
 	if !set.HoldOff {
@@ -341,8 +342,8 @@
 	s.send(r, best)
 }
 
-// ableZone is the part of the prefix keys that stay in our zone: all, unless its readers are colder than those of
-// the others. A zone that comes back all cold would else read all of its prompts while the others have room.
+// ableZone is the part of the prefix keys that stay in our zone: all, unless its readers are colder than the
+// others'. A zone that comes back all cold would else read all of its prompts while the others have room.
 func (s *Scheduler) ableZone() float64 {
 	var own, all, ownAble, allAble float64
 	for _, e := range s.order {
@@ -430,7 +431,8 @@
 	score := func(e *engine) float64 { return e.share * s.warmth(e) / -math.Log(unit(key, uint64(e.ID))) }
 	stays := unit(key, stayKey) < s.ableZone()
 	for _, e := range list {
-		e.away = max(2*one(e == r.avoid || s.risk(e, r.Class) > ejectRisk), one(stays && e.Zone != s.set.Zone))
+		risky := e == r.avoid || s.risk(e, r.Class) > ejectRisk
+		e.away = max(2*one(risky), one(stays && e.Zone != s.set.Zone))
 	}
 	slices.SortStableFunc(list, func(a, b *engine) int {
 		return cmp.Or(a.away-b.away, cmp.Compare(score(b), score(a)))
@@ -524,7 +526,7 @@
 	p.tokens += weight * (tokens - p.tokens)
 }
 
-// early is the weight of a sample in a pool's mean: greater while this router has seen few requests against its
+// early is the weight of a sample in a pool's mean: greater while this router has seen little for so many
 // peers. At a large fleet that is most of a day, and the first sample alone must not turn away what follows.
 func (s *Scheduler) early() float64 {
 	if s.seen < s.set.Routers/4 {
@@ -963,8 +965,8 @@
 
 // hasRoom tells whether an engine that has just started can take the request within our part of its budget:
 // a bucket that fills at the rate at which the engine may be sent work at its worst, of which our part is
-// what warm peers of its zone serve for us: our requests stay in our own zone, and a part counted over the warm ones
-// of all zones left most of it to routers that send nothing there. A part of less than one request makes the next one wait longer.
+// what warm peers of its zone serve for us (requests stay in a zone). A part of less than one request makes
+// the next one wait longer.
 func (s *Scheduler) hasRoom(e *engine, r *request) bool {
 	if s.now >= e.coldTill {
 		return true
@@ -986,7 +988,7 @@
 	return e.coldRoom >= 0
 }
 
-// warmth is the least share of its capacity that an engine has by the time since its start. Prefix keys come to a
+// warmth is the least share of its capacity that an engine has by the time since its start. Keys come to a
 // starting reader by it, at all routers alike: what it can't take yet is read and kept in one other place.
 func (s *Scheduler) warmth(e *engine) float64 {
 	if s.now >= e.coldTill {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1142,10 +1142,10 @@
 		for i := range 80 {
 			b := &bench{T: t, s: New(set, uint64(i)*7919), now: time.Second}
 			b.give(Listed{Kind: ListCached, Engines: fleet()})
-			for id, took := range []time.Duration{400 * ms, 30 * ms, 30 * ms, 30 * ms, 30 * ms, 30 * ms} {
-				b.give(Arrived{Request: RequestID(id + 1), Session: uint64(id), Prefix: uint64(100 + id), PromptTokens: 2000,
-					PrefixTokens: 1500, MaxTokens: 300, Left: 3 * time.Second})
-				b.give(Ended{Request: RequestID(id + 1), Engine: b.sentTo(RequestID(id + 1)), Result: Read, Took: took, Kept: 1700})
+			for id, took := range []time.Duration{400 * ms, 30 * ms, 30 * ms, 30 * ms, 30 * ms, 30 * ms, 30 * ms, 30 * ms} {
+				b.give(Arrived{Request: RequestID(id + 1), Class: 1, Session: uint64(id), Prefix: uint64(100 + id), PromptTokens: 800,
+					PrefixTokens: 600, MaxTokens: 300, Left: 6 * time.Second})
+				b.give(Ended{Request: RequestID(id + 1), Engine: b.sentTo(RequestID(id + 1)), Result: Read, Took: took, Kept: 700})
 				b.start(RequestID(id + 1))
 				b.end(RequestID(id+1), Served, false)
 				b.pass(time.Second)
