--- a/brain/brain.go
+++ b/brain/brain.go
@@ -83,10 +83,8 @@
 	lostShare, lostTimes, passedTimes = 0.3, 10.0, 3.0
 	// keptLimit bounds the beginnings remembered for an engine.
 	keptLimit = 2048
-	// stayKey draws the keys that stay in a zone, as if it were an engine.
-	stayKey = 1
-	// tickKey marks the scheduler's own timer; request ids stay under it.
-	tickKey = 1 << 63
+	// tickKey marks the scheduler's own timer, stayKey draws keys as if it were an engine; ids lie between.
+	tickKey, stayKey = 1 << 63, 1
 )
 
 // New makes a scheduler. The seed settles the draws among equals: routers need different ones, or those with
@@ -516,7 +514,7 @@
 	p, left, tokens := &s.pools[e.role], fade(s.now-e.pacedAt, streamMemory), r.ahead+work+stepTokens
 	e.time, e.tokens, e.pacedAt = e.time*left+took.Seconds(), e.tokens*left+tokens, s.now
 	if p.tokens == 0 {
-		p.time, p.tokens = took.Seconds(), tokens
+		p.time, p.tokens = took.Seconds()*poolGain/s.early(), tokens // it may have waited
 	}
 	weight := poolGain
 	if took.Seconds()*p.tokens < p.time*tokens { // a slow read may have waited behind what others sent
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1136,13 +1136,13 @@
 // 0.6 ms of a token, and 14 to 25 long prompts were refused in 2 s while readers were idle and had most of them kept. In a
 // small fleet, whose routers see enough, a pool's mean moves as before.
 func TestFirstSlowReadRefusesNobody(t *testing.T) {
-	refused := func(routers int) (n int) {
+	refused := func(routers, reads int, prompt float64) (n int) {
 		set := testSettings()
 		set.Routers = routers
 		for i := range 80 {
 			b := &bench{T: t, s: New(set, uint64(i)*7919), now: time.Second}
 			b.give(Listed{Kind: ListCached, Engines: fleet()})
-			for id, took := range []time.Duration{400 * ms, 30 * ms, 30 * ms, 30 * ms, 30 * ms, 30 * ms, 30 * ms, 30 * ms} {
+			for id, took := range []time.Duration{400 * ms, 30 * ms, 30 * ms, 30 * ms, 30 * ms, 30 * ms, 30 * ms, 30 * ms}[:reads] {
 				b.give(Arrived{Request: RequestID(id + 1), Class: 1, Session: uint64(id), Prefix: uint64(100 + id), PromptTokens: 800,
 					PrefixTokens: 600, MaxTokens: 300, Left: 6 * time.Second})
 				b.give(Ended{Request: RequestID(id + 1), Engine: b.sentTo(RequestID(id + 1)), Result: Read, Took: took, Kept: 700})
@@ -1150,15 +1150,17 @@
 				b.end(RequestID(id+1), Served, false)
 				b.pass(time.Second)
 			}
-			b.give(Arrived{Request: 50, Class: 1, Session: 50, Prefix: 9, PromptTokens: 9000, PrefixTokens: 6000, MaxTokens: 300, Left: 6 * time.Second})
+			b.give(Arrived{Request: 50, Class: 1, Session: 50, Prefix: 9, PromptTokens: prompt, PrefixTokens: prompt / 2, MaxTokens: 300, Left: 6 * time.Second})
 			n += count(b.log, func(a Refuse) bool { return a.Request == 50 })
 		}
 		return n
 	}
-	if n := refused(80); n > 0 {
-		t.Errorf("%d of 80 routers refused a long prompt for one slow read", n)
-	}
-	if n := refused(4); n == 0 {
-		t.Error("the test's slow read is not slow enough to show anything")
+	for reads, prompt := range map[int]float64{1: 2500, 8: 9000} {
+		if n := refused(80, reads, prompt); n > 0 {
+			t.Errorf("%d of 80 routers refused a prompt of %.0f after %d reads, one of them slow", n, prompt, reads)
+		}
+		if n := refused(4, reads, prompt); n == 0 {
+			t.Error("the test's slow read is not slow enough to show anything")
+		}
 	}
 }
