Discovery: an answer that is no whole list empties no list of workers

Read through: the first answer was taken as the whole list whatever it said, so `{}` or `{"error":...}` with status 200, or one marked incomplete, made every worker gone. Such an answer is now a failed call; the last list stands. A complete list that names no worker is still believed.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -59,14 +59,19 @@
 		var err error
 		began, watched := time.Now(), fetched
 		if !fetched {
-			err = w.follow(ctx, w.url, w.pace.patience(), func(l List) {
-				revision, fetched, l.Complete = l.Revision, true, true
+			err = w.follow(ctx, w.url, w.pace.patience(), func(l List) error {
+				if !l.Complete {
+					return errPartial
+				}
+				revision, fetched = l.Revision, true
 				tell(l)
+				return nil
 			})
 		} else {
-			err = w.follow(ctx, fmt.Sprintf("%s?stream=1&index=%d", w.url, revision), w.silence, func(l List) {
+			err = w.follow(ctx, fmt.Sprintf("%s?stream=1&index=%d", w.url, revision), w.silence, func(l List) error {
 				revision = l.Revision
 				tell(l)
+				return nil
 			})
 		}
 		if wait = 0; (err != nil || watched) && ctx.Err() == nil { // also an answer that ends at once may do so for ever
@@ -78,7 +83,7 @@
 
 // follow reads one answer to its end, object after object; silence ends it. The lines that come while nothing
 // changes are white space to the decoder, but they are heard.
-func (w *Watcher) follow(ctx context.Context, url string, silence time.Duration, tell func(List)) error {
+func (w *Watcher) follow(ctx context.Context, url string, silence time.Duration, tell func(List) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	quiet := time.AfterFunc(silence, func() { cancel(fmt.Errorf("silent for %v", silence)) })
@@ -103,8 +108,12 @@
 		switch cause := context.Cause(ctx); {
 		case cause != nil: // also of a list that has just come: another source may be followed by now
 			return cause
+		case err == nil && l.Complete && l.Members == nil:
+			return errNoList
 		case err == nil:
-			tell(l)
+			if err := tell(l); err != nil {
+				return err
+			}
 		case errors.Is(err, io.EOF):
 			return nil
 		default:
@@ -120,6 +129,12 @@
 	left  int
 }
 
+// What can't be the whole list must not be taken for one: all workers that it does not name would count as gone.
+var (
+	errNoList  = errors.New("an answer without members, as from another server")
+	errPartial = errors.New("a part of a list where the whole was asked for")
+)
+
 var errLong = errors.New("longer than a list may be")
 
 // Read serves io.Reader.
