A draining router ends only once what it holds for its requests is let go

Need: held state must be let go in time by routers that drain too. Read through: a client has its answer before the release of its state has gone out (forget() releases in a goroutine of its own), and serve() returned, and the process ended, as soon as net/http had no open request. A release under way, or the end of a read that was called off, was lost with it.

Core.Settle now waits, for at most 1 s, until nothing is out for any request.

The test has a release that no worker takes for 60 ms, and one that none ever takes.

--- a/cmd/sumacloft/main.go
+++ b/cmd/sumacloft/main.go
@@ -35,6 +35,8 @@
 	// is not ready any more. Whoever comes later than 0.7 s is owed a whole answer before the process is killed,
 	// and a stream may take longer than that leaves: by then nobody must be able to come.
 	lingers = 710 * time.Millisecond
+	// settles is how long, once all answers are out, what is held for them may take to be let go.
+	settles = time.Second
 	sweeps  = time.Second
 	// memoryShare of the limit is what the collector aims at; the rest is for what it does not see.
 	memoryShare = 0.75
@@ -297,6 +299,9 @@
 	if err := server.Shutdown(context.Background()); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
+	settling, done := context.WithTimeout(background, settles)
+	defer done()
+	r.core.Settle(settling)
 	log.Info("drained")
 	return nil
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -208,6 +208,30 @@
 	}
 }
 
+// settled is how often Settle looks.
+const settled = 5 * time.Millisecond
+
+// Settle waits until nothing is out for any request, no attempt and no release of what is held, or until ctx ends. A
+// process that ended before would leave its states pinned: the client has its answer sooner than its state is let go.
+func (c *Core) Settle(ctx context.Context) {
+	every := time.NewTicker(settled)
+	defer every.Stop()
+	for c.open() > 0 {
+		select {
+		case <-ctx.Done():
+			c.log.WithField("requests", c.open()).Warn("ending with work still out")
+			return
+		case <-every.C:
+		}
+	}
+}
+
+func (c *Core) open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.requests)
+}
+
 // fire fires what is due and tells how long to wait for the next.
 func (c *Core) fire() time.Duration {
 	c.mu.Lock()
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -287,3 +287,46 @@
 		t.Errorf("answers %q", got)
 	}
 }
+
+// A router that drains answers a client before what is held for the request is let go; it must not end in between. A
+// release that no worker takes does not keep it for ever.
+func TestSettleWaitsForReleases(t *testing.T) {
+	for taken, wait := range map[bool]time.Duration{true: 5 * time.Second, false: 50 * time.Millisecond} {
+		c, _ := begin(t, "r1", "w1")
+		may := make(chan struct{})
+		f := &fake{left: limit, class: unsafe}
+		f.refuses = func(Worker) bool {
+			select {
+			case <-may:
+				return false
+			default:
+				return true
+			}
+		}
+		f.try = answersByRole(func(w Worker) (Reply, error) {
+			if w.Name == "r1" {
+				return Reply{}, nil
+			}
+			return Reply{}, broken(Written)
+		})
+		c.Do(context.Background(), f, f)
+		if got := f.seen(&f.answers); got != "failed" || f.seen(&f.released) != "" {
+			t.Fatalf("answered %q, released at %q: the release must still be out", got, f.seen(&f.released))
+		}
+		if taken {
+			time.AfterFunc(60*time.Millisecond, func() { close(may) })
+		}
+		ctx, stop := context.WithTimeout(context.Background(), wait)
+		c.Settle(ctx)
+		if ended := ctx.Err() != nil; ended == taken {
+			t.Errorf("taken %v: settled by its limit %v", taken, ended)
+		}
+		if got := f.seen(&f.released); (got != "") != taken {
+			t.Errorf("taken %v: released at %q when settled", taken, got)
+		}
+		stop()
+		if !taken {
+			close(may)
+		}
+	}
+}
