Upgrade: the router serves on the listener inherited as $PROXY_FD

Changed: config reads PROXY_FD (and console, PROXY_CONSOLE); cmd/sumacloft serves on net.FileListener of that descriptor and closes only its own copy. TestInheritedListener fails without it.

--- a/cmd/sumacloft/main.go
+++ b/cmd/sumacloft/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"flag"
+	"fmt"
 	stdlog "log"
 	"math/rand/v2"
 	"net"
@@ -82,6 +83,7 @@
 // router is the wired program.
 type router struct {
 	listen string
+	fd     int // a listening socket inherited from the platform; 0: listen is bound
 	guard  *downstream.Guard
 	budget *upstream.Budget
 	pool   *upstream.Pool
@@ -159,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &router{listen: cfg.Listen}
+	r := &router{listen: cfg.Listen, fd: cfg.ListenFD}
 	r.limit(cfg.Limits)
 	bounds := cfg.Settings.Bounds
 	r.pool = upstream.NewPool(r.budget, config.Millis(bounds.ConnectTimeoutMs), config.Millis(bounds.ConnIdleMs))
@@ -271,7 +273,7 @@
 
 // serve answers until ctx ends, then takes what still arrives for a while and ends what it has taken.
 func (r *router) serve(ctx context.Context, again <-chan os.Signal, log *logrus.Logger) error {
-	listener, err := net.Listen("tcp", r.listen)
+	listener, err := r.listener()
 	if err != nil {
 		return err
 	}
@@ -306,6 +308,21 @@
 	return nil
 }
 
+// listener is the socket that clients come to. An inherited one is shared with the platform and with the other
+// process of an upgrade: closing this process's copy leaves what waits in its backlog to the other.
+func (r *router) listener() (net.Listener, error) {
+	if r.fd == 0 {
+		return net.Listen("tcp", r.listen)
+	}
+	file := os.NewFile(uintptr(r.fd), "inherited listener")
+	defer file.Close() // FileListener has a copy of its own
+	listener, err := net.FileListener(file)
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_FD: %d: %w", r.fd, err)
+	}
+	return listener, nil
+}
+
 func (r *router) sweep(ctx context.Context) {
 	every := time.NewTicker(sweeps)
 	defer every.Stop()
--- a/cmd/sumacloft/main_test.go
+++ b/cmd/sumacloft/main_test.go
@@ -273,3 +273,61 @@
 		t.Error(err)
 	}
 }
+
+// In an upgrade the platform holds the clients' socket and each process inherits it ($PROXY_FD). The router
+// serves on it, binds nothing (the address is taken: binding it made the new process exit), and leaves the
+// socket open for the other holders when it stops.
+func TestInheritedListener(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	file, err := held.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	listen := held.Addr().String()
+	path := filepath.Join(t.TempDir(), "config.json")
+	configure(t, path, listen, free(t))
+	t.Setenv("PROXY_CONFIG", path)
+	t.Setenv("PROXY_FD", fmt.Sprint(file.Fd()))
+	r, err := onPlatform(standin.Log())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, terminate := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.serve(ctx, nil, standin.Log()) }()
+	quick := &http.Client{Timeout: 200 * time.Millisecond} // the socket's backlog takes a dial that nobody serves
+	standin.Eventually(t, 2*time.Second, "the router serves on the inherited socket", func() bool {
+		resp, err := quick.Get("http://" + listen + "/_health")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	terminate()
+	if err := <-stopped; err != nil {
+		t.Fatalf("stopped with %v", err)
+	}
+	_ = held.(*net.TCPListener).SetDeadline(time.Now().Add(2 * time.Second))
+	taken := make(chan error, 1)
+	go func() {
+		c, err := held.Accept()
+		if err == nil {
+			_ = c.Close()
+		}
+		taken <- err
+	}()
+	c, err := net.Dial("tcp", listen)
+	if err != nil {
+		t.Fatalf("the socket was closed for its other holders: %v", err)
+	}
+	defer c.Close()
+	if err := <-taken; err != nil {
+		t.Errorf("the other holder can't take connections: %v", err)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,6 +18,8 @@
 type Config struct {
 	Name      string
 	Listen    string
+	ListenFD  int    // a listening socket inherited from the platform ($PROXY_FD); 0: bind Listen
+	Console   string // the operators' address ($PROXY_CONSOLE or console); "": none
 	Discovery string
 	Seed      uint64
 	Limits    Limits
@@ -67,6 +69,7 @@
 	var file struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
+		Console   string          `json:"console"`
 		Discovery string          `json:"discovery"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
@@ -76,8 +79,9 @@
 	if err := json.Unmarshal(data, &file); err != nil {
 		return Config{}, fmt.Errorf("PROXY_CONFIG: %s: %w", path, err)
 	}
-	c := Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits, Known: file.Known}
-	for key, to := range map[string]*string{"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen} {
+	c := Config{Name: file.Name, Listen: file.Listen, Console: file.Console, Discovery: file.Discovery, Limits: file.Limits,
+		Known: file.Known}
+	for key, to := range map[string]*string{"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_CONSOLE": &c.Console} {
 		if v := getenv(key); v != "" {
 			*to = v
 		}
@@ -91,6 +95,17 @@
 	if err := address("discovery", c.Discovery); err != nil {
 		return Config{}, err
 	}
+	if c.Console != "" {
+		if err := address("console", c.Console); err != nil {
+			return Config{}, err
+		}
+	}
+	if fd := getenv("PROXY_FD"); fd != "" {
+		// 0 to 2 are the standard streams: a listener there is a mistake, not an inheritance.
+		if c.ListenFD, err = strconv.Atoi(fd); err != nil || c.ListenFD < 3 {
+			return Config{}, fmt.Errorf("PROXY_FD: %q is not the number of an inherited descriptor", fd)
+		}
+	}
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
 		return Config{}, fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", file.Seed)
 	}
