--- a/cmd/sumacloft/main.go
+++ b/cmd/sumacloft/main.go
@@ -82,18 +82,21 @@
 
 // router is the wired program.
 type router struct {
-	listen string
-	fd     int // a listening socket inherited from the platform; 0: listen is bound
-	guard  *downstream.Guard
-	budget *upstream.Budget
-	pool   *upstream.Pool
-	core   *core.Core
-	front  front
-	names  discovery.Names
-	source source                 // of the list of workers; nil: it does not change
-	moved  chan source            // a source that takes the place of the last one
-	reload func() (source, error) // reads the configuration again; no source: the list's place is the same
-	close  func() error
+	listen  string
+	fd      int // a listening socket inherited from the platform; 0: listen is bound
+	guard   *downstream.Guard
+	budget  *upstream.Budget
+	pool    *upstream.Pool
+	core    *core.Core
+	front   front
+	names   discovery.Names
+	desk    *desk  // bans and the console; nil: none
+	ducks   ducker // the front that a lame duck sheds; nil: none
+	console string
+	source  source                 // of the list of workers; nil: it does not change
+	moved   chan source            // a source that takes the place of the last one
+	reload  func() (source, error) // reads the configuration again; no source: the list's place is the same
+	close   func() error
 }
 
 func (r *router) limit(l config.Limits) {
@@ -115,6 +118,10 @@
 		if l.Complete {
 			kind = brain.ListWhole
 		}
+		if r.desk != nil {
+			r.desk.list(kind, l)
+			return
+		}
 		r.core.Listed(kind, r.names.Workers(l.Members))
 	}
 	for run := r.source; ; {
@@ -161,20 +168,24 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &router{listen: cfg.Listen, fd: cfg.ListenFD}
+	r := &router{listen: cfg.Listen, fd: cfg.ListenFD, console: cfg.Console}
 	r.limit(cfg.Limits)
 	bounds := cfg.Settings.Bounds
 	r.pool = upstream.NewPool(r.budget, config.Millis(bounds.ConnectTimeoutMs), config.Millis(bounds.ConnIdleMs))
 	workers := platform.NewWorkers(r.pool)
 	r.core = core.New(set, cfg.Seed, workers, log)
 	r.names = discovery.Names{Zones: cfg.Settings.Zones, Kinds: cfg.Settings.Kinds}
-	r.core.Listed(brain.ListCached, r.names.Workers(cfg.Known.Members))
+	r.desk = newDesk(banFile(cfg.Name), log, func(kind brain.ListKind, members []discovery.Member) {
+		r.core.Listed(kind, r.names.Workers(members))
+	})
+	r.desk.list(brain.ListCached, cfg.Known)
 	pace := &discovery.Pace{}
 	if set.AskForList { // one discovery for all routers
 		pace = discovery.Shared(cfg.Settings.Balancers, cfg.Seed)
 	}
 	r.source = agent(cfg.Discovery, pace, discovery.From{Revision: cfg.Known.Revision, Known: cfg.Known.Complete}, log)
-	r.front = platform.New(r.core, workers, cfg.Settings.Class)
+	front := platform.New(r.core, workers, cfg.Settings.Class)
+	r.front, r.ducks = front, front
 	r.reload = func() (source, error) {
 		next, err := config.Platform(os.Getenv)
 		if err != nil {
@@ -279,6 +290,12 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	if r.desk != nil {
+		if err := r.operators(background); err != nil {
+			_ = listener.Close()
+			return err
+		}
+	}
 	go r.core.Run(background)
 	go r.follow(background)
 	go r.reloads(background, again, log)
@@ -290,13 +307,20 @@
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(r.guard.Listen(listener)) }()
 	log.WithField("listen", r.listen).Info("ready")
+	if r.desk != nil {
+		r.desk.ready.Store(true)
+	}
 	select {
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
 	}
 	log.Info("draining")
+	if r.desk != nil {
+		r.desk.ended.Store(true)
+	}
 	r.front.Drain()
+	r.guard.Shed(true)
 	time.Sleep(lingers)
 	if err := server.Shutdown(context.Background()); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return err
@@ -308,6 +332,27 @@
 	return nil
 }
 
+// ducker is a front that can be emptied for a while.
+type ducker interface{ Duck(on bool) }
+
+// operators starts what serves the operators: the file of bans is followed, and the console opened if there is one.
+func (r *router) operators(ctx context.Context) error {
+	r.desk.duck = func(on bool) {
+		r.ducks.Duck(on)
+		r.guard.Shed(on)
+	}
+	go r.desk.follow(ctx)
+	if r.console == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", r.console)
+	if err != nil {
+		return fmt.Errorf("console: %w", err)
+	}
+	go r.desk.console(ctx, l)
+	return nil
+}
+
 // listener is the socket that clients come to. An inherited one is shared with the platform and with the other
 // process of an upgrade: closing this process's copy leaves what waits in its backlog to the other.
 func (r *router) listener() (net.Listener, error) {
--- a/cmd/sumacloft/main_test.go
+++ b/cmd/sumacloft/main_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -18,6 +19,8 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"sumacloft/brain"
+	"sumacloft/internal/discovery"
 	"sumacloft/internal/standin"
 )
 
@@ -331,3 +334,129 @@
 		t.Errorf("the other holder can't take connections: %v", err)
 	}
 }
+
+// call makes one call of the console and gives its answer.
+func call(t *testing.T, addr, line string) string {
+	t.Helper()
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return err.Error()
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(time.Second)) // the answer is owed within 1 s
+	if _, err := io.WriteString(c, line+"\n"); err != nil {
+		return err.Error()
+	}
+	answer, err := io.ReadAll(c)
+	if err != nil {
+		return err.Error()
+	}
+	return strings.TrimSpace(string(answer))
+}
+
+// The console answers each call within 1 s beside callers that say nothing; a worker taken out by hand gets
+// nothing new, in this process and in the next one of an upgrade, which reads the bans from $TMPDIR; a lame duck
+// fails its health check and closes its idle clients, and REJOIN undoes that.
+func TestConsole(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	hits := map[string]*atomic.Int64{"a": {}, "b": {}}
+	worker := func(name string) string {
+		return standin.HTTP(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			if req.Method == http.MethodPost {
+				hits[name].Add(1)
+				_, _ = io.WriteString(w, "data: "+name+"\n\n")
+			}
+		}))
+	}
+	listen, console, path := free(t), free(t), filepath.Join(t.TempDir(), "config.json")
+	configure(t, path, listen, free(t), member("a", worker("a")), member("b", worker("b")))
+	t.Setenv("PROXY_CONFIG", path)
+	t.Setenv("PROXY_CONSOLE", console)
+	r, err := onPlatform(standin.Log())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, terminate := context.WithCancel(context.Background())
+	defer terminate()
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.serve(ctx, nil, standin.Log()) }()
+	standin.Eventually(t, 2*time.Second, "PING says ready", func() bool { return strings.HasPrefix(call(t, console, "PING"), "SUCCESS") })
+	for range 3 { // callers that hold their connections without a word
+		c, err := net.Dial("tcp", console)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	began := time.Now()
+	for line, want := range map[string]string{"PING": "SUCCESS", "DETACH ghost": "FAILURE", "HELLO": "FAILURE", "": "FAILURE",
+		strings.Repeat("A", 400): "FAILURE", "DETACH a": "SUCCESS", "detach a": "SUCCESS"} {
+		if got := call(t, console, line); !strings.HasPrefix(got, want) {
+			t.Errorf("%.20q: %q, want %s", line, got, want)
+		}
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("seven calls beside silent callers took %v", took)
+	}
+	ids := 0
+	ask := func(c *http.Client) (int, bool) {
+		ids++
+		req, _ := http.NewRequest("POST", "http://"+listen+"/v1/chat/completions", strings.NewReader("{}"))
+		for k, v := range map[string]string{"Request-Id": fmt.Sprint(ids), "Request-Class": "c", "Request-Timeout": "900m"} {
+			req.Header.Set(k, v)
+		}
+		resp, err := c.Do(req)
+		if err != nil {
+			return 0, false
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		return resp.StatusCode, resp.Close
+	}
+	for range 20 {
+		ask(http.DefaultClient)
+	}
+	if n := hits["a"].Load(); n != 0 {
+		t.Errorf("the detached worker got %d requests", n)
+	}
+	// The next process of an upgrade starts with the bans of the file.
+	next := newDesk(banFile(""), standin.Log(), func(brain.ListKind, []discovery.Member) {})
+	if got := next.hand.Banned(); len(got) != 1 || got[0] != "a" {
+		t.Errorf("the next process finds the bans %v", got)
+	}
+	if got := call(t, console, "ATTACH a"); !strings.HasPrefix(got, "SUCCESS") {
+		t.Errorf("ATTACH: %q", got)
+	}
+	standin.Eventually(t, 2*time.Second, "the worker called back is used", func() bool {
+		ask(http.DefaultClient)
+		return hits["a"].Load() > 0
+	})
+	health := func() int {
+		resp, err := http.Get("http://" + listen + "/_health")
+		if err != nil {
+			return 0
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	idle := &http.Client{Transport: &http.Transport{}}
+	if status, _ := ask(idle); status != http.StatusOK {
+		t.Fatalf("a request before the lame duck: %d", status)
+	}
+	if got := call(t, console, "LAMEDUCK"); !strings.HasPrefix(got, "SUCCESS") || health() != http.StatusServiceUnavailable ||
+		!strings.HasPrefix(call(t, console, "PING"), "FAILURE") {
+		t.Errorf("LAMEDUCK: %q; health %d", got, health())
+	}
+	if _, closed := ask(http.DefaultClient); !closed {
+		t.Error("an answer of a lame duck keeps the connection")
+	}
+	standin.Eventually(t, time.Second, "the idle connection is closed", func() bool { return r.guard.Idle() == 0 })
+	began = time.Now()
+	if got := call(t, console, "REJOIN"); !strings.HasPrefix(got, "SUCCESS") || health() != http.StatusOK {
+		t.Errorf("REJOIN: %q; health %d after %v", got, health(), time.Since(began))
+	}
+	terminate()
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/downstream/guard.go
+++ b/internal/downstream/guard.go
@@ -34,6 +34,7 @@
 	open  int // requests that may still be taken
 
 	mu    sync.Mutex
+	shed  bool // idle connections are closed at once: the router is being emptied
 	freed *sync.Cond
 	conns map[*Conn]struct{}
 	idle  *list.List // of *Conn without an open request, the one idle for longest first
@@ -150,10 +151,10 @@
 			g.drop(c)
 		}
 	}
-	for at := g.idle.Front(); at != nil && 2*len(g.conns) > g.most; {
+	for at := g.idle.Front(); at != nil && (g.shed || 2*len(g.conns) > g.most); {
 		c := at.Value.(*Conn)
 		at = at.Next()
-		if now.Sub(c.since) < restTime {
+		if !g.shed && now.Sub(c.since) < restTime {
 			return
 		}
 		if quiet(c.Conn) {
@@ -162,6 +163,22 @@
 	}
 }
 
+// Shed has idle connections closed at every sweep while on: a router being emptied must keep no client's
+// connection that carries nothing, since a client would send its next request there. One with bytes unread has
+// a request on its way and is left to be answered, with the close.
+func (g *Guard) Shed(on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shed = on
+}
+
+// Idle is how many connections wait for a request.
+func (g *Guard) Idle() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.idle.Len()
+}
+
 // drop closes a connection. The lock is held.
 func (g *Guard) drop(c *Conn) {
 	c.leave()
--- /dev/null
+++ b/internal/ops/ops_test.go
@@ -0,0 +1,91 @@
+package ops
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+
+	"sumacloft/internal/discovery"
+)
+
+func TestParse(t *testing.T) {
+	for line, want := range map[string]Call{
+		"PING": {Verb: Ping}, "lameduck": {Verb: Lameduck}, " REJOIN ": {Verb: Rejoin},
+		"DETACH s-1": {Verb: Detach, ID: "s-1"}, "attach S-2": {Verb: Attach, ID: "S-2"},
+	} {
+		if got, err := Parse(line); err != nil || got != want {
+			t.Errorf("%q: %+v, %v; want %+v", line, got, err, want)
+		}
+	}
+	for _, line := range []string{"", "  ", "HELLO", "DETACH", "DETACH a b", "PING now", strings.Repeat("x", 300)} {
+		if got, err := Parse(line); err == nil {
+			t.Errorf("%q is taken as %+v", line, got)
+		}
+	}
+}
+
+func members(l discovery.List) map[string]string {
+	out := map[string]string{}
+	for _, m := range l.Members {
+		out[m.ID] = m.Phase
+	}
+	return out
+}
+
+// A ban outlives every list until it is lifted, a repeated call changes nothing, and an id that no list named is
+// refused. Without the bans in Take a whole list that says SERVING would bring the worker back.
+func TestHandBans(t *testing.T) {
+	h := NewHand(nil)
+	whole := discovery.List{Complete: true, Members: []discovery.Member{{ID: "a", Phase: "SERVING"}, {ID: "b", Phase: "SERVING"}}}
+	h.Take(whole)
+	if _, err := h.Set("nobody", true); !errors.Is(err, ErrUnknown) {
+		t.Errorf("a ban of an unknown id: %v", err)
+	}
+	for range 2 {
+		change, err := h.Set("a", true)
+		if err != nil || members(change)["a"] != "DRAINING" || len(change.Members) != 1 {
+			t.Fatalf("the ban is told as %+v, %v", change, err)
+		}
+	}
+	if got := members(h.Take(whole)); got["a"] != "DRAINING" || got["b"] != "SERVING" {
+		t.Errorf("a whole list after the ban: %v", got)
+	}
+	if got := members(h.Take(discovery.List{Members: []discovery.Member{{ID: "a", Phase: "SERVING", HostPort: "new"}}})); got["a"] != "DRAINING" {
+		t.Errorf("a change to the banned worker: %v", got)
+	}
+	if got := members(h.Take(discovery.List{Members: []discovery.Member{{ID: "a", Phase: "DELETED"}}})); got["a"] != "DELETED" {
+		t.Errorf("a banned worker's removal: %v", got)
+	}
+	if _, err := h.Set("a", false); !errors.Is(err, ErrUnknown) {
+		t.Errorf("the removed worker is still known: %v", err)
+	}
+	if !slices.Equal(h.Banned(), []string{"a"}) {
+		t.Errorf("the ban went with the list: %v", h.Banned())
+	}
+	h.Take(whole) // the worker returns, restarted
+	if got := members(h.Take(whole)); got["a"] != "DRAINING" {
+		t.Errorf("a returned worker is not banned: %v", got)
+	}
+	change, err := h.Set("a", false)
+	if err != nil || members(change)["a"] != "SERVING" {
+		t.Errorf("the call back is told as %+v, %v", change, err)
+	}
+	if got := members(h.Take(whole)); got["a"] != "SERVING" || len(h.Banned()) != 0 {
+		t.Errorf("after the call back: %v, bans %v", got, h.Banned())
+	}
+}
+
+// The bans of another process (an upgrade's) are taken as the file has them, and told as changes of the workers
+// that the list names.
+func TestHandLoad(t *testing.T) {
+	h := NewHand([]string{"b"})
+	h.Take(discovery.List{Complete: true, Members: []discovery.Member{{ID: "a", Phase: "SERVING"}, {ID: "b", Phase: "SERVING"}}})
+	change := h.Load([]string{"a", "ghost"})
+	if got := members(change); len(got) != 2 || got["a"] != "DRAINING" || got["b"] != "SERVING" {
+		t.Errorf("changes told: %v", got)
+	}
+	if len(h.Load([]string{"a", "ghost"}).Members) != 0 {
+		t.Error("the same bans again are told as changes")
+	}
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -32,7 +32,8 @@
 	core    *core.Core
 	workers *Workers
 	class   func(name string) int
-	closing atomic.Bool
+	closing atomic.Bool // for good
+	ducked  atomic.Bool // for a while
 
 	mu   sync.Mutex
 	open map[string]struct{} // ids of requests of which something is out, or held at a worker
@@ -47,14 +48,19 @@
 // answered as before.
 func (f *Front) Drain() { f.closing.Store(true) }
 
+// Duck makes the health check fail and asks clients to leave after their next answer, as Drain does, until it is
+// called off.
+func (f *Front) Duck(on bool) { f.ducked.Store(on) }
+
 // ServeHTTP answers the health check and passes everything else on.
 func (f *Front) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	if f.closing.Load() {
+	leaving := f.closing.Load() || f.ducked.Load()
+	if leaving {
 		w.Header().Set("Connection", "close")
 	}
 	if req.URL.Path == healthURL {
-		if f.closing.Load() {
-			http.Error(w, "shutting down", http.StatusServiceUnavailable)
+		if leaving {
+			http.Error(w, "not serving", http.StatusServiceUnavailable)
 		}
 		return
 	}
