--- a/brain/api.go
+++ b/brain/api.go
@@ -287,3 +287,11 @@
 func (SetTimer) action()  {}
 func (Subscribe) action() {}
 func (Log) action()       {}
+
+// Retune takes new settings for requests that arrive from now on. Classes keep their places, since requests
+// under way are known by them; a request under way keeps its class as it came. What the scheduler has learnt of
+// engines and requests stays.
+func (s *Scheduler) Retune(set Settings) {
+	fresh := New(set, s.seed)
+	s.set, s.tick, s.patience, s.most = fresh.set, fresh.tick, fresh.patience, fresh.most
+}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1164,3 +1164,20 @@
 		}
 	}
 }
+
+// Settings retuned while requests are under way: one under way keeps its class as it came (here, a safe one is
+// still tried again), and what comes after takes the new terms (the same class now unsafe, never repeated).
+func TestRetuneKeepsClassOfRequestsUnderWay(t *testing.T) {
+	b := newBench(t, testSettings(), fleet())
+	b.arrive(1, 0, 3*time.Second)
+	b.end(1, Read, false)
+	stricter := testSettings()
+	stricter.Classes[0].Effect = Unsafe
+	b.s.Retune(stricter)
+	got := b.end(1, Errored, false)
+	b.must(has[Send](got), "the request under way lost its class: %+v", got)
+	b.arrive(2, 0, 3*time.Second)
+	b.end(2, Read, false)
+	got = b.end(2, Errored, false)
+	b.must(!has[Send](got) && has[Fail](got), "a new request has the old terms: %+v", got)
+}
--- a/cmd/sumacloft/main.go
+++ b/cmd/sumacloft/main.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -164,7 +165,11 @@
 	if err != nil {
 		return nil, err
 	}
-	set, err := cfg.Settings.Brain()
+	if _, err := cfg.Settings.Brain(); err != nil {
+		return nil, err
+	}
+	classes := &config.Catalog{}
+	set, err := classes.Take(cfg.Settings).Brain()
 	if err != nil {
 		return nil, err
 	}
@@ -184,10 +189,10 @@
 		pace = discovery.Shared(cfg.Settings.Balancers, cfg.Seed)
 	}
 	r.source = agent(cfg.Discovery, pace, discovery.From{Revision: cfg.Known.Revision, Known: cfg.Known.Complete}, log)
-	front := platform.New(r.core, workers, cfg.Settings.Class)
+	front := platform.New(r.core, workers, classes.Class)
 	r.front, r.ducks = front, front
 	r.reload = func() (source, error) {
-		next, err := config.Platform(os.Getenv)
+		next, err := cfg.Again(os.Getenv)
 		if err != nil {
 			return nil, err
 		}
@@ -195,6 +200,15 @@
 			return nil, err
 		}
 		needRestart(log, cfg.Stale(next))
+		if !reflect.DeepEqual(cfg.Settings, next.Settings) {
+			set, err := classes.Take(next.Settings).Brain()
+			if err != nil { // checked above: a class of an earlier file is one that was taken
+				return nil, err
+			}
+			r.core.Retune(set)
+			cfg.Settings = next.Settings
+			log.WithField("classes", len(next.Settings.Classes)).Info("settings retuned for new requests")
+		}
 		if cfg.Discovery == next.Discovery {
 			return nil, nil
 		}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -60,16 +60,50 @@
 	Group         string  `json:"group"`
 	DedupWindowMs float64 `json:"dedupWindowMs"`
 	Worth         float64 `json:"worth"`
+	AimPer1000    float64 `json:"-"` // µs, from familyInfo.aimUsPer1000PromptTokens by the class's place
 }
 
+// restarts are the settings that the router takes at its start alone.
+type restarts struct {
+	Zones, Kinds             []string
+	ConnIdle, ConnectTimeout float64
+}
+
+func (s Settings) restart() restarts {
+	return restarts{s.Zones, s.Kinds, s.Bounds.ConnIdleMs, s.Bounds.ConnectTimeoutMs}
+}
+
+// unset marks a number that the file does not give.
+const unset = math.MinInt32
+
 // ParseSettings reads the settings JSON.
 func ParseSettings(data []byte) (Settings, error) {
 	s := Settings{Balancers: 1, Registry: "automatic"}
 	s.Report.Via = "none"
 	s.Bounds.ConnectTimeoutMs, s.Bounds.ConnIdleMs = 250, 30000
+	s.Bounds.MostTries = unset
 	if err := json.Unmarshal(data, &s); err != nil {
 		return Settings{}, fmt.Errorf("settings: %w", err)
 	}
+	// A file written in part, or by hand, must not pass for settings: requests would be refused by a deadline of
+	// nothing, or sent without bound.
+	switch {
+	case s.Bounds.MostTries == unset:
+		s.Bounds.MostTries = 0 // no bound given
+	case s.Bounds.MostTries <= 0:
+		return Settings{}, fmt.Errorf("settings.bounds.mostTries: %d, must be positive", s.Bounds.MostTries)
+	}
+	for i, c := range s.Classes {
+		s.Classes[i].AimPer1000 = at(s.Family.AimPer1000, i)
+		switch {
+		case c.Name == "":
+			return Settings{}, fmt.Errorf("settings.classes[%d].name: missing", i)
+		case !(c.DeadlineMs > 0):
+			return Settings{}, fmt.Errorf("settings.classes[%d].deadlineMs: %g, must be positive", i, c.DeadlineMs)
+		case c.AimMs < 0:
+			return Settings{}, fmt.Errorf("settings.classes[%d].aimMs: %g, must not be negative", i, c.AimMs)
+		}
+	}
 	if s.Balancers < 1 {
 		return Settings{}, fmt.Errorf("settings.balancers: %d, at least 1", s.Balancers)
 	}
@@ -112,7 +146,7 @@
 			return out, fmt.Errorf("settings.classes[%d].group: %q is not known", i, c.Group)
 		}
 		out.Classes = append(out.Classes, brain.Class{
-			Aim: Millis(c.AimMs), AimPer1kPrompt: Millis(at(s.Family.AimPer1000, i) / 1e3),
+			Aim: Millis(c.AimMs), AimPer1kPrompt: Millis(c.AimPer1000 / 1e3),
 			Deadline: Millis(c.DeadlineMs), Worth: c.Worth, Effect: effect, Scope: scope, RepeatWindow: Millis(c.DedupWindowMs)})
 	}
 	for i := range max(len(s.Kinds), len(s.Family.KindRole)) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -92,6 +92,13 @@
 		sooner:   make(chan struct{}, 1)}
 }
 
+// Retune has the module take new settings for requests that come from now on.
+func (c *Core) Retune(set brain.Settings) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sched.Retune(set)
+}
+
 // now is the time by the monotonic clock, counted like Unix time so that discovery's times compare with it.
 func (c *Core) now() time.Duration { return c.unix + time.Since(c.zero) }
 
