Hand: a repeated call out of a worker that restarts, out of the list, is a yes

At 16.97 s the new process answered 'FAILURE no such worker' to a repeated DETACH of s-, banned by the file, while the worker was out of the list being restarted. The other FAILURE (s-a42c9e9x) is an id never listed, which is owed a no. Ruled out: a late answer (all calls answered within the same 10 ms in the log).

Changed: ops.Hand refuses only an id that was never listed in this process and is not banned; a ban of an absent worker is kept and told when it returns.

--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -67,12 +67,13 @@
 // can be told at once and outlives every list. Its zero value is not ready: see NewHand.
 type Hand struct {
 	banned map[string]bool
-	known  map[string]discovery.Member // as the list has it, before any ban
+	known  map[string]discovery.Member // as the list has it now, before any ban
+	listed map[string]bool             // ever, in this process; a worker restarted by hand leaves the list a while
 }
 
 // NewHand starts with these bans, as a file of an earlier process had them.
 func NewHand(banned []string) *Hand {
-	h := &Hand{banned: map[string]bool{}, known: map[string]discovery.Member{}}
+	h := &Hand{banned: map[string]bool{}, known: map[string]discovery.Member{}, listed: map[string]bool{}}
 	for _, id := range banned {
 		h.banned[id] = true
 	}
@@ -98,7 +99,7 @@
 	out := l
 	out.Members = make([]discovery.Member, len(l.Members))
 	for i, m := range l.Members {
-		if m.Phase == "DELETED" {
+		if h.listed[m.ID] = true; m.Phase == "DELETED" {
 			delete(h.known, m.ID)
 		} else {
 			h.known[m.ID] = m
@@ -119,11 +120,11 @@
 // ErrUnknown says that no list has named the worker.
 var ErrUnknown = errors.New("no such worker in the list")
 
-// Set bans a worker or lifts its ban. Repeating either changes nothing. The change, if the worker is listed, is
-// given as a partial list for the core; an id that no list named is refused, and changes nothing.
+// Set bans a worker or lifts its ban. Repeating either changes nothing. The change, if the worker is listed now, is
+// given as a partial list for the core. An id that no list named, and that is not banned, is refused and changes
+// nothing; a banned one may be out of the list while it restarts, or known to this process by the file alone.
 func (h *Hand) Set(id string, ban bool) (discovery.List, error) {
-	m, listed := h.known[id]
-	if !listed {
+	if !h.listed[id] && !h.banned[id] {
 		return discovery.List{}, fmt.Errorf("%w: %q", ErrUnknown, truncate(id))
 	}
 	if ban {
@@ -131,6 +132,10 @@
 	} else {
 		delete(h.banned, id)
 	}
+	m, listed := h.known[id]
+	if !listed {
+		return discovery.List{}, nil
+	}
 	return discovery.List{Members: []discovery.Member{h.word(m)}}, nil
 }
 
