Last call: 0.3 s before the kill, requests without an answer fail and release their holds

Changed: ops.LastCall gives the time (longest deadline up to 3 s, + 0.7 s, - 0.3 s); core.LastCall fails every request without an answer, as the overdue path does, and tells the module it is gone, which calls attempts off and releases. Streams that began run on. TestLastCallReleases (a reader that holds, a silent writer) fails without it; TestLastCall.

--- a/cmd/sumacloft/main.go
+++ b/cmd/sumacloft/main.go
@@ -16,6 +16,7 @@
 	"reflect"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,6 +29,7 @@
 	"sumacloft/internal/discovery"
 	"sumacloft/internal/downstream"
 	"sumacloft/internal/etcd"
+	"sumacloft/internal/ops"
 	"sumacloft/internal/platform"
 	"sumacloft/internal/upstream"
 )
@@ -83,16 +85,19 @@
 
 // router is the wired program.
 type router struct {
-	listen  string
-	fd      int // a listening socket inherited from the platform; 0: listen is bound
-	guard   *downstream.Guard
-	budget  *upstream.Budget
-	pool    *upstream.Pool
-	core    *core.Core
-	front   front
-	names   discovery.Names
-	desk    *desk  // bans and the console; nil: none
-	ducks   ducker // the front that a lame duck sheds; nil: none
+	listen string
+	fd     int // a listening socket inherited from the platform; 0: listen is bound
+	guard  *downstream.Guard
+	budget *upstream.Budget
+	pool   *upstream.Pool
+	core   *core.Core
+	front  front
+	names  discovery.Names
+	desk   *desk  // bans and the console; nil: none
+	ducks  ducker // the front that a lame duck sheds; nil: none
+	// longest is the longest deadline of the classes: after SIGTERM the platform waits for it, up to a point. 0:
+	// the platform's rule does not apply.
+	longest atomic.Int64
 	console string
 	source  source                 // of the list of workers; nil: it does not change
 	moved   chan source            // a source that takes the place of the last one
@@ -180,6 +185,7 @@
 	workers := platform.NewWorkers(r.pool)
 	r.core = core.New(set, cfg.Seed, workers, log)
 	r.names = discovery.Names{Zones: cfg.Settings.Zones, Kinds: cfg.Settings.Kinds}
+	r.longest.Store(int64(cfg.Settings.Longest()))
 	r.desk = newDesk(banFile(cfg.Name), log, func(kind brain.ListKind, members []discovery.Member) {
 		r.core.Listed(kind, r.names.Workers(members))
 	})
@@ -206,6 +212,7 @@
 				return nil, err
 			}
 			r.core.Retune(set)
+			r.longest.Store(int64(next.Settings.Longest()))
 			cfg.Settings = next.Settings
 			log.WithField("classes", len(next.Settings.Classes)).Info("settings retuned for new requests")
 		}
@@ -335,6 +342,13 @@
 	}
 	r.front.Drain()
 	r.guard.Shed(true)
+	if longest := time.Duration(r.longest.Load()); longest > 0 {
+		cut := time.AfterFunc(ops.LastCall(longest), func() {
+			ended := r.core.LastCall()
+			log.WithField("ended", ended).Warn("the last call before the kill: what has no answer fails, its holds are released")
+		})
+		defer cut.Stop()
+	}
 	time.Sleep(lingers)
 	if err := server.Shutdown(context.Background()); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return err
--- a/cmd/sumacloft/main_test.go
+++ b/cmd/sumacloft/main_test.go
@@ -460,3 +460,78 @@
 		t.Error(err)
 	}
 }
+
+// The platform kills a process at the longest deadline (at most 3 s) and 0.7 s after SIGTERM. A request that has
+// no answer just before fails, which promises nothing (a cut would lose it), and what the worker holds for it is
+// released while the process still lives. Killed with it open, the hold stayed at the worker.
+func TestLastCallReleases(t *testing.T) {
+	released := make(chan string, 4)
+	server := func(read bool) string {
+		return standin.HTTP(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			switch {
+			case req.Method == http.MethodDelete:
+				released <- req.URL.Path
+				w.WriteHeader(http.StatusNoContent)
+			case read: // the prompt is read and its state held
+				w.WriteHeader(http.StatusAccepted)
+			default: // a writer fallen silent
+				<-req.Context().Done()
+			}
+		}))
+	}
+	listen, path := free(t), filepath.Join(t.TempDir(), "config.json")
+	at := func(id, flavor, addr string) map[string]any {
+		return map[string]any{"id": id, "host_port": addr, "flavor": flavor, "phase": "SERVING"}
+	}
+	config, _ := json.Marshal(map[string]any{"listen": listen, "discovery": free(t), "seed": "1",
+		"known": map[string]any{"revision": 7, "members": []any{at("r", "r", server(true)), at("w", "w", server(false))}},
+		"settings": map[string]any{"kinds": []string{"r", "w"}, "familyInfo": map[string]any{"kindRole": []string{"read", "write"},
+			"kvTokens": []int{100000, 100000}}, "bounds": map[string]any{"cancelling": true},
+			"classes": []any{map[string]any{"name": "c", "aimMs": 1000, "deadlineMs": 20000, "worth": 1, "effect": "read_like"}}}})
+	if err := os.WriteFile(path, config, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("PROXY_CONFIG", path)
+	r, err := onPlatform(standin.Log())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, terminate := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.serve(ctx, nil, standin.Log()) }()
+	standin.Eventually(t, 2*time.Second, "ready", r.desk.ready.Load)
+	answer := make(chan error, 1)
+	go func() {
+		req, _ := http.NewRequest("POST", "http://"+listen+"/v1/chat/completions", strings.NewReader("{}"))
+		for k, v := range map[string]string{"Request-Id": "held", "Request-Class": "c", "Request-Timeout": "15000m"} {
+			req.Header.Set(k, v)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			if err == nil {
+				err = fmt.Errorf("answered %d", resp.StatusCode)
+			}
+		}
+		answer <- err
+	}()
+	time.Sleep(200 * time.Millisecond)
+	began := time.Now()
+	terminate()
+	kill := began.Add(3700 * time.Millisecond)
+	select {
+	case got := <-released:
+		if got != "/v1/holds/held" || time.Now().After(kill) {
+			t.Errorf("released %q %v after SIGTERM", got, time.Since(began))
+		}
+	case <-time.After(time.Until(kill)):
+		t.Fatalf("nothing was released before the kill; the client: %v", <-answer)
+	}
+	if err := <-answer; err == nil || err.Error() != "answered 500" {
+		t.Errorf("the client was told %v, not that it failed", err)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -163,6 +163,15 @@
 	return out, nil
 }
 
+// Longest is the longest deadline of the classes.
+func (s Settings) Longest() time.Duration {
+	var most float64
+	for _, c := range s.Classes {
+		most = max(most, c.DeadlineMs)
+	}
+	return Millis(most)
+}
+
 // Class is the place of the class with this name, or -1.
 func (s Settings) Class(name string) int {
 	return slices.IndexFunc(s.Classes, func(c Class) bool { return c.Name == name })
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -115,6 +115,23 @@
 	}
 }
 
+// LastCall ends every request that has no answer yet, as one that the module did not decide in time: the process
+// is about to be killed, and then what is held for them would stay held. Each fails, which promises nothing, and
+// the module is told that it is gone, so that it calls its attempts off and releases what they hold. Streams that
+// have begun are left to run: their state is taken.
+func (c *Core) LastCall() (ended int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.requests {
+		if !r.decided && !r.left {
+			r.end(brain.Fail{Request: r.id})
+			c.handle(brain.Gone{Request: r.id})
+			ended++
+		}
+	}
+	return ended
+}
+
 // post puts something into the mailbox. The lock is held.
 func (r *request) post(m any) {
 	r.mail = append(r.mail, m)
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"sumacloft/internal/discovery"
 )
@@ -158,3 +159,17 @@
 	slices.SortFunc(changed, func(a, b discovery.Member) int { return strings.Compare(a.ID, b.ID) })
 	return discovery.List{Members: changed}
 }
+
+const (
+	// killCap is the longest deadline that the platform waits for after SIGTERM, killGrace what it adds.
+	killCap, killGrace = 3 * time.Second, 700 * time.Millisecond
+	// lastCallLead before the kill, what is open is ended: time for its releases to be taken.
+	lastCallLead = 300 * time.Millisecond
+)
+
+// LastCall is how long after SIGTERM a process ends what it still has open, given the longest deadline of its
+// classes: the platform kills it at that deadline (at most killCap) and killGrace, and what it holds at workers
+// then would stay held.
+func LastCall(longest time.Duration) time.Duration {
+	return min(longest, killCap) + killGrace - lastCallLead
+}
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"sumacloft/internal/discovery"
 )
@@ -92,3 +93,14 @@
 		t.Error("the same bans again are told as changes")
 	}
 }
+
+// The last call comes before the kill, with time for releases, however long the deadlines are.
+func TestLastCall(t *testing.T) {
+	for longest, want := range map[time.Duration]time.Duration{
+		10 * time.Second: 3400 * time.Millisecond, 3 * time.Second: 3400 * time.Millisecond, time.Second: 1400 * time.Millisecond,
+	} {
+		if got := LastCall(longest); got != want {
+			t.Errorf("deadline %v: last call at %v, want %v", longest, got, want)
+		}
+	}
+}
