--- a/cmd/sumacloft/console.go
+++ b/cmd/sumacloft/console.go
@@ -107,24 +107,18 @@
 }
 
 // follow takes, until ctx ends, the bans that the other process wrote.
-func (d *desk) follow(ctx context.Context) {
-	every := time.NewTicker(banLooks)
-	defer every.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-every.C:
-		}
-		banned, text := d.read()
-		d.mu.Lock()
-		if text != d.seen && (text != "" || d.seen != "") {
-			d.seen = text
-			if changed := d.hand.Load(banned); len(changed.Members) > 0 {
-				d.tell(brain.ListDelta, changed.Members)
-			}
+func (d *desk) follow(ctx context.Context) { each(ctx, banLooks, d.look) }
+
+// look takes the bans of the file if they changed since this process last read or wrote it.
+func (d *desk) look() {
+	banned, text := d.read()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if text != d.seen && (text != "" || d.seen != "") {
+		d.seen = text
+		if changed := d.hand.Load(banned); len(changed.Members) > 0 {
+			d.tell(brain.ListDelta, changed.Members)
 		}
-		d.mu.Unlock()
 	}
 }
 
--- a/cmd/sumacloft/main.go
+++ b/cmd/sumacloft/main.go
@@ -396,15 +396,18 @@
 	return listener, nil
 }
 
-func (r *router) sweep(ctx context.Context) {
-	every := time.NewTicker(sweeps)
+func (r *router) sweep(ctx context.Context) { each(ctx, sweeps, r.pool.Sweep) }
+
+// each does something once a period until ctx ends.
+func each(ctx context.Context, period time.Duration, do func()) {
+	every := time.NewTicker(period)
 	defer every.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-every.C:
-			r.pool.Sweep()
+			do()
 		}
 	}
 }
--- a/cmd/sumacloft/main_test.go
+++ b/cmd/sumacloft/main_test.go
@@ -24,6 +24,21 @@
 	"sumacloft/internal/standin"
 )
 
+// start serves the platform's configuration of $PROXY_CONFIG; terminate stands for SIGTERM, and stopped has what
+// serve returned.
+func start(t *testing.T) (r *router, terminate func(), stopped chan error) {
+	t.Helper()
+	r, err := onPlatform(standin.Log())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, terminate := context.WithCancel(context.Background())
+	t.Cleanup(terminate)
+	stopped = make(chan error, 1)
+	go func() { stopped <- r.serve(ctx, nil, standin.Log()) }()
+	return r, terminate, stopped
+}
+
 // free is an address that nothing listens at.
 func free(t *testing.T) string {
 	l := standin.Listen(t)
@@ -141,13 +156,7 @@
 	path := filepath.Join(t.TempDir(), "config.json")
 	configure(t, path, listen, free(t), member("s", worker))
 	t.Setenv("PROXY_CONFIG", path)
-	r, err := onPlatform(standin.Log())
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, terminate := context.WithCancel(context.Background())
-	stopped := make(chan error, 1)
-	go func() { stopped <- r.serve(ctx, nil, standin.Log()) }()
+	_, terminate, stopped := start(t)
 	health := func() int {
 		resp, err := http.Get("http://" + listen + "/_health")
 		if err != nil {
@@ -296,13 +305,7 @@
 	configure(t, path, listen, free(t))
 	t.Setenv("PROXY_CONFIG", path)
 	t.Setenv("PROXY_FD", fmt.Sprint(file.Fd()))
-	r, err := onPlatform(standin.Log())
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, terminate := context.WithCancel(context.Background())
-	stopped := make(chan error, 1)
-	go func() { stopped <- r.serve(ctx, nil, standin.Log()) }()
+	_, terminate, stopped := start(t)
 	quick := &http.Client{Timeout: 200 * time.Millisecond} // the socket's backlog takes a dial that nobody serves
 	standin.Eventually(t, 2*time.Second, "the router serves on the inherited socket", func() bool {
 		resp, err := quick.Get("http://" + listen + "/_health")
@@ -492,13 +495,7 @@
 		t.Fatal(err)
 	}
 	t.Setenv("PROXY_CONFIG", path)
-	r, err := onPlatform(standin.Log())
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, terminate := context.WithCancel(context.Background())
-	stopped := make(chan error, 1)
-	go func() { stopped <- r.serve(ctx, nil, standin.Log()) }()
+	r, terminate, stopped := start(t)
 	standin.Eventually(t, 2*time.Second, "ready", r.desk.ready.Load)
 	answer := make(chan error, 1)
 	go func() {
