--- a/cmd/sumacloft/main.go
+++ b/cmd/sumacloft/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	stdlog "log"
 	"math/rand/v2"
@@ -16,10 +15,13 @@
 	"reflect"
 	"runtime"
 	"runtime/debug"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/alecthomas/kong"
 	"github.com/sirupsen/logrus"
 
 	"sumacloft/brain"
@@ -46,9 +48,28 @@
 	memoryShare = 0.75
 )
 
+// line is the command line.
+type line struct {
+	Config string `help:"The operator's file; without it the PROXY_* variables are read." placeholder:"FILE"`
+}
+
+// arguments reads the command line. The flag may be spelled with one dash, as it once was.
+func arguments(args []string) line {
+	args = slices.Clone(args)
+	for i, a := range args {
+		if name, _, _ := strings.Cut(a, "="); name == "-config" {
+			args[i] = "-" + a
+		}
+	}
+	var l line
+	parser := kong.Must(&l, kong.Name("sumacloft"), kong.Description("A router for two-stage language-model serving."))
+	_, err := parser.Parse(args)
+	parser.FatalIfErrorf(err)
+	return l
+}
+
 func main() {
-	file := flag.String("config", "", "the operator's file; without it the PROXY_* variables are read")
-	flag.Parse()
+	file := arguments(os.Args[1:]).Config
 	log := logrus.New()
 	if text := os.Getenv("SUMACLOFT_LOG"); text != "" {
 		level, err := logrus.ParseLevel(text)
@@ -62,8 +83,8 @@
 	again := make(chan os.Signal, 1) // a reload that waits stands for all that came meanwhile
 	signal.Notify(again, syscall.SIGHUP)
 	start := onPlatform
-	if *file != "" {
-		start = func(log *logrus.Logger) (*router, error) { return forOperator(log, *file) }
+	if file != "" {
+		start = func(log *logrus.Logger) (*router, error) { return forOperator(log, file) }
 	}
 	r, err := start(log)
 	if err == nil {
@@ -233,7 +254,7 @@
 	r := &router{listen: cfg.Listen}
 	read := cfg // as the file has it
 	if cfg.Store.ID != "" {
-		if cfg, r.close, err = openStore(cfg, log); err != nil {
+		if r.close, err = openStore(cfg, log); err != nil {
 			return nil, err
 		}
 	}
@@ -249,6 +270,24 @@
 	r.names = cfg.Chat.Names()
 	r.source = operators(cfg, log)
 	r.front = chat.New(r.core, servers, cfg.Chat)
+	if cfg.Policy.On() {
+		gate, leave, err := joinFleet(cfg, r.core, log)
+		if err != nil {
+			if r.close != nil {
+				err = errors.Join(err, r.close())
+			}
+			return nil, err
+		}
+		r.front = chat.NewGated(r.core, servers, gate, cfg.Policy.Header)
+		shut := r.close
+		r.close = func() error { // the registration is taken back while the store still runs
+			err := leave()
+			if shut != nil {
+				err = errors.Join(err, shut())
+			}
+			return err
+		}
+	}
 	r.reload = func() (source, error) {
 		next, err := config.ReadOperator(file)
 		if err != nil {
--- a/cmd/sumacloft/store.go
+++ b/cmd/sumacloft/store.go
@@ -17,89 +17,93 @@
 	"sumacloft/internal/store"
 )
 
-// storeWait is how long a start waits for the store to have a leader and to answer.
-const storeWait = 30 * time.Second
+// storePause is how long a start waits before it asks a store again that does not answer.
+const storePause = 100 * time.Millisecond
 
-// openStore opens this daemon's node and serves it, writes the file's servers into it if it knows no members,
-// and gives the configuration as the store has it.
-func openStore(cfg config.Operator, log *logrus.Logger) (config.Operator, func() error, error) {
+// openStore opens this daemon's node and serves it. The key that once held [chat] is not written by hand any more: the
+// policy took its place.
+func openStore(cfg config.Operator, log *logrus.Logger) (shut func() error, err error) {
 	peers := make([]store.Peer, len(cfg.Store.Peers))
 	for i, p := range cfg.Store.Peers {
 		peers[i] = store.Peer(p)
 	}
 	listener, err := net.Listen("tcp", cfg.Store.Self().Client)
 	if err != nil {
-		return cfg, nil, fmt.Errorf("store: %w", err)
+		return nil, fmt.Errorf("store: %w", err)
 	}
-	node, err := store.Open(store.Options{Self: store.Peer(cfg.Store.Self()), Peers: peers, Dir: cfg.Store.Dir, Log: log.WriterLevel(logrus.WarnLevel)})
+	node, err := store.Open(store.Options{Self: store.Peer(cfg.Store.Self()), Peers: peers, Dir: cfg.Store.Dir,
+		Heartbeat: config.Millis(cfg.Store.HeartbeatMs), Log: log.WriterLevel(logrus.WarnLevel)})
 	if err != nil {
-		return cfg, nil, errors.Join(err, listener.Close())
+		return nil, errors.Join(err, listener.Close())
 	}
 	server := grpc.NewServer()
-	kv := etcd.Register(server, node)
+	reserved := map[string]string{}
+	if cfg.Store.ConfigKey != "" {
+		reserved[cfg.Store.ConfigKey] = "the fleet's policy took its place: change it with 'sumactl policy apply FILE'"
+	}
+	etcd.Register(server, node, reserved)
 	go func() {
 		if err := server.Serve(listener); err != nil {
 			log.WithError(err).Error("the store's API stopped")
 		}
 	}()
-	shut := func() error {
+	return func() error {
 		server.Stop()
 		return node.Close()
+	}, nil
+}
+
+// earlier gives the file's policy, or that of the key which held [chat] before there were policies.
+func earlier(ctx context.Context, kv *etcd.Client, cfg config.Operator) (string, error) {
+	if cfg.Store.ConfigKey == "" {
+		return cfg.FirstPolicy(), nil
 	}
-	ctx, done := context.WithTimeout(context.Background(), storeWait)
-	defer done()
-	if err := node.Ready(ctx); err != nil {
-		return cfg, nil, errors.Join(err, shut())
-	}
-	out, err := fromStore(ctx, kv, cfg)
+	resp, err := kv.Range(ctx, &pb.RangeRequest{Key: []byte(cfg.Store.ConfigKey)})
 	if err != nil {
-		return cfg, nil, errors.Join(fmt.Errorf("store: %w", err), shut())
+		return "", err
 	}
-	return out, shut, nil
-}
-
-// fromStore reads [chat] from the store and fills in the members, all in one transaction if there are none.
-func fromStore(ctx context.Context, kv pb.KVServer, cfg config.Operator) (config.Operator, error) {
-	end := []byte(cfg.Members.Prefix)
-	end[len(end)-1]++
-	read := func(key, end []byte) (resp *pb.RangeResponse, err error) {
-		for { // a leader may just be changing
-			if resp, err = kv.Range(ctx, &pb.RangeRequest{Key: key, RangeEnd: end}); err == nil || ctx.Err() != nil {
-				return resp, err
-			}
-			select {
-			case <-ctx.Done():
-			case <-time.After(50 * time.Millisecond):
-			}
+	if len(resp.Kvs) > 0 {
+		if cfg, err = cfg.ReadChat(string(resp.Kvs[0].Value)); err != nil {
+			return "", err
 		}
 	}
-	if cfg.Store.ConfigKey != "" {
-		resp, err := read([]byte(cfg.Store.ConfigKey), nil)
-		if err != nil {
-			return cfg, err
+	return cfg.FirstPolicy(), nil
+}
+
+// fill writes the file's servers into the store if it knows no members, as soon as it answers.
+func fill(ctx context.Context, kv *etcd.Client, cfg config.Operator, log logrus.FieldLogger) {
+	for {
+		err := fillOnce(ctx, kv, cfg)
+		if err == nil || ctx.Err() != nil {
+			return
 		}
-		if len(resp.Kvs) > 0 {
-			if cfg, err = cfg.ReadChat(string(resp.Kvs[0].Value)); err != nil {
-				return cfg, err
-			}
+		log.WithError(err).Debug("members: the store does not answer yet")
+		select {
+		case <-ctx.Done():
+		case <-time.After(storePause):
 		}
 	}
-	resp, err := read([]byte(cfg.Members.Prefix), end)
-	if err != nil || len(resp.Kvs) > 0 {
-		return cfg, err
+}
+
+func fillOnce(ctx context.Context, kv *etcd.Client, cfg config.Operator) error {
+	end := []byte(cfg.Members.Prefix)
+	end[len(end)-1]++
+	resp, err := kv.Range(ctx, &pb.RangeRequest{Key: []byte(cfg.Members.Prefix), RangeEnd: end, CountOnly: true})
+	if err != nil || resp.Count > 0 {
+		return err
 	}
-	fill := &pb.TxnRequest{}
+	txn := &pb.TxnRequest{}
 	for _, m := range cfg.Chat.Members() {
 		value, err := json.Marshal(m)
 		if err != nil {
-			return cfg, err
+			return err
 		}
 		key := []byte(cfg.Members.Prefix + m.ID)
-		fill.Compare = append(fill.Compare, &pb.Compare{Key: key, Target: pb.Compare_MOD, TargetUnion: &pb.Compare_ModRevision{}})
-		fill.Success = append(fill.Success, &pb.RequestOp{Request: &pb.RequestOp_RequestPut{RequestPut: &pb.PutRequest{Key: key, Value: value}}})
+		txn.Compare = append(txn.Compare, &pb.Compare{Key: key, Target: pb.Compare_MOD, TargetUnion: &pb.Compare_ModRevision{}})
+		txn.Success = append(txn.Success, &pb.RequestOp{Request: &pb.RequestOp_RequestPut{RequestPut: &pb.PutRequest{Key: key, Value: value}}})
 	}
-	if len(fill.Success) > 0 {
-		_, err = kv.Txn(ctx, fill) // another daemon that was first has written the same
+	if len(txn.Success) > 0 {
+		_, err = kv.Txn(ctx, txn) // another daemon that was first has written the same
 	}
-	return cfg, err
+	return err
 }
--- a/cmd/sumactl/main.go
+++ b/cmd/sumactl/main.go
@@ -1,199 +1,143 @@
-// Command sumactl reads and changes the daemon's store: configuration, members and their drains.
+// Command sumactl reads and changes what a fleet of daemons shares in its store: the policy, the routers that follow
+// it, the members and their drains.
 package main
 
 import (
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"time"
 
-	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
+	"github.com/alecthomas/kong"
+	"github.com/jedib0t/go-pretty/v6/table"
 
-	"sumacloft/internal/discovery"
+	"sumacloft/internal/etcd"
+	"sumacloft/internal/policy"
 )
 
-const usage = `usage: sumactl [-endpoint HOST:PORT] [-prefix PREFIX] COMMAND
-  get KEY             print a value
-  put KEY VALUE       set it; the value - is read from standard input
-  del KEY             remove it
-  members             list the members
-  serve ID HOST:PORT  add a member, or take one back into service at an address
-  drain ID            have a member end what it has and take nothing new
-  remove ID           declare a member gone
-  watch               print changes of members until interrupted`
+// The exit codes.
+const (
+	exitFailed  = 1 // also: a change was aborted
+	exitUnknown = 3 // a change whose outcome is not known yet
+)
 
 const callLimit = 5 * time.Second
 
-func main() {
-	endpoint := flag.String("endpoint", "127.0.0.1:2379", "a node of the store")
-	prefix := flag.String("prefix", "/sumacloft/members/", "where the members are")
-	flag.Usage = func() { fmt.Fprintln(os.Stderr, usage) }
-	flag.Parse()
-	conn, err := grpc.NewClient("passthrough:///"+*endpoint, grpc.WithTransportCredentials(insecure.NewCredentials()))
-	if err == nil {
-		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-		defer stop()
-		c := ctl{pb.NewKVClient(conn), pb.NewWatchClient(conn), *prefix, os.Stdin, os.Stdout}
-		err = c.run(ctx, flag.Args())
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "sumactl:", err)
-		os.Exit(1)
-	}
+// line is the command line.
+type line struct {
+	Endpoint []string `help:"A node of the store, or several; one that is dead is passed over." default:"127.0.0.1:2379" placeholder:"HOST:PORT" sep:","`
+	Prefix   string   `help:"Where the members are." default:"/sumacloft/members/"`
+	Output   string   `help:"How to print: text or json." enum:"text,json" default:"text"`
+
+	Policy  policyLine  `cmd:"" help:"The fleet's policy: what all routers decide alike."`
+	Routers routersLine `cmd:"" help:"The routers that follow the policy."`
+
+	Get     getLine     `cmd:"" help:"Print a value."`
+	Put     putLine     `cmd:"" help:"Set a value."`
+	Del     delLine     `cmd:"" help:"Remove a key."`
+	Members membersLine `cmd:"" help:"List the members."`
+	Serve   serveLine   `cmd:"" help:"Add a member, or take one back into service at an address."`
+	Drain   drainLine   `cmd:"" help:"Have a member end what it has and take nothing new."`
+	Remove  removeLine  `cmd:"" help:"Declare a member gone."`
+	Watch   watchLine   `cmd:"" help:"Print changes of members until interrupted."`
 }
 
+// ctl is what the commands work with.
 type ctl struct {
-	kv     pb.KVClient
-	watch  pb.WatchClient
+	ctx    context.Context
+	store  policy.Store
 	prefix string
+	json   bool
 	in     io.Reader
 	out    io.Writer
+	notes  io.Writer // progress, and what to do next
 }
 
-var errUsage = errors.New(usage)
-
-func (c *ctl) run(ctx context.Context, args []string) error {
-	if len(args) == 0 {
-		return errUsage
-	}
-	wants := map[string]int{"get": 2, "put": 3, "del": 2, "members": 1, "serve": 3, "drain": 2, "remove": 2, "watch": 1}
-	if wants[args[0]] != len(args) {
-		return errUsage
-	}
-	if args[0] == "watch" {
-		return c.follow(ctx)
-	}
-	ctx, done := context.WithTimeout(ctx, callLimit)
-	defer done()
-	switch args[0] {
-	case "get":
-		return c.get(ctx, args[1])
-	case "put":
-		return c.put(ctx, args[1], args[2])
-	case "del":
-		return c.del(ctx, args[1])
-	case "members":
-		return c.members(ctx)
-	case "serve":
-		return c.change(ctx, args[1], func(m *discovery.Member) { m.HostPort, m.Phase = args[2], "SERVING" }, true)
-	case "drain":
-		return c.change(ctx, args[1], func(m *discovery.Member) { m.Phase = "DRAINING" }, false)
-	default:
-		return c.del(ctx, c.prefix+args[1])
-	}
+// call bounds one call to the store.
+func (c *ctl) call() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(c.ctx, callLimit)
 }
 
-func (c *ctl) get(ctx context.Context, key string) error {
-	r, err := c.kv.Range(ctx, &pb.RangeRequest{Key: []byte(key)})
-	if err != nil {
-		return err
-	}
-	if len(r.Kvs) == 0 {
-		return fmt.Errorf("%s: not there", key)
+// print prints a value as JSON, or has text print it.
+func (c *ctl) print(value any, text func(io.Writer) error) error {
+	if !c.json {
+		return text(c.out)
 	}
-	_, err = fmt.Fprintln(c.out, string(r.Kvs[0].Value))
-	return err
+	e := json.NewEncoder(c.out)
+	e.SetIndent("", "  ")
+	return e.Encode(value)
 }
 
-func (c *ctl) put(ctx context.Context, key, value string) error {
-	data := []byte(value)
-	if value == "-" {
-		var err error
-		if data, err = io.ReadAll(c.in); err != nil {
-			return err
-		}
+// table prints rows under a header.
+func tabled(header table.Row, rows []table.Row) func(io.Writer) error {
+	return func(w io.Writer) error {
+		t := table.NewWriter()
+		t.SetStyle(table.StyleLight)
+		t.Style().Options = table.OptionsNoBordersAndSeparators
+		t.AppendHeader(header)
+		t.AppendRows(rows)
+		_, err := fmt.Fprintln(w, t.Render())
+		return err
 	}
-	_, err := c.kv.Put(ctx, &pb.PutRequest{Key: []byte(key), Value: data})
-	return err
 }
 
-func (c *ctl) del(ctx context.Context, key string) error {
-	r, err := c.kv.DeleteRange(ctx, &pb.DeleteRangeRequest{Key: []byte(key)})
-	if err == nil && r.Deleted == 0 {
-		err = fmt.Errorf("%s: not there", key)
-	}
-	return err
+// exit is an error that has a code of its own.
+type exit struct {
+	code int
+	text string
 }
 
-func (c *ctl) end() []byte {
-	end := []byte(c.prefix)
-	end[len(end)-1]++
-	return end
-}
+func (e *exit) Error() string { return e.text }
 
-func (c *ctl) members(ctx context.Context) error {
-	r, err := c.kv.Range(ctx, &pb.RangeRequest{Key: []byte(c.prefix), RangeEnd: c.end()})
-	if err != nil {
-		return err
-	}
-	for _, pair := range r.Kvs {
-		if _, err := fmt.Fprintf(c.out, "%s %s\n", pair.Key[len(c.prefix):], pair.Value); err != nil {
-			return err
+// dashes gives the flags that were once spelled with one dash the two that they have now.
+func dashes(args []string) []string {
+	out := make([]string, len(args))
+	for i, a := range args {
+		if name, _, _ := strings.Cut(a, "="); name == "-endpoint" || name == "-prefix" {
+			a = "-" + a
 		}
+		out[i] = a
 	}
-	return nil
+	return out
 }
 
-// change changes one member, if nobody else did since it was read.
-func (c *ctl) change(ctx context.Context, id string, how func(*discovery.Member), create bool) error {
-	key := []byte(c.prefix + id)
-	r, err := c.kv.Range(ctx, &pb.RangeRequest{Key: key})
-	if err != nil {
-		return err
-	}
-	m, read := discovery.Member{Flavor: "chat"}, int64(0)
-	if len(r.Kvs) > 0 {
-		read = r.Kvs[0].ModRevision
-		if err := json.Unmarshal(r.Kvs[0].Value, &m); err != nil {
-			return fmt.Errorf("%s: %w", key, err)
+// run runs a command line and gives its exit code.
+func run(ctx context.Context, args []string, in io.Reader, out, notes io.Writer) (code int) {
+	var l line
+	exited := -1
+	parser, err := kong.New(&l, kong.Name("sumactl"), kong.Writers(out, notes), kong.Exit(func(code int) { exited = code }), kong.UsageOnError(),
+		kong.Description("Reads and changes what a fleet of sumacloft daemons shares in its store."))
+	if err == nil {
+		var k *kong.Context
+		if k, err = parser.Parse(dashes(args)); exited >= 0 {
+			return exited
+		}
+		if err == nil {
+			var client *etcd.Client
+			if client, err = etcd.NewClient(l.Endpoint); err == nil {
+				defer client.Close()
+				err = k.Run(&ctl{ctx, policy.Store{Client: client}, l.Prefix, l.Output == "json", in, out, notes})
+			}
 		}
-	} else if !create {
-		return fmt.Errorf("%s: not there", key)
 	}
-	m.ID = id
-	how(&m)
-	value, err := json.Marshal(m)
-	if err != nil {
-		return err
+	if err == nil {
+		return 0
 	}
-	t, err := c.kv.Txn(ctx, &pb.TxnRequest{
-		Compare: []*pb.Compare{{Key: key, Target: pb.Compare_MOD, TargetUnion: &pb.Compare_ModRevision{ModRevision: read}}},
-		Success: []*pb.RequestOp{{Request: &pb.RequestOp_RequestPut{RequestPut: &pb.PutRequest{Key: key, Value: value}}}}})
-	if err == nil && !t.Succeeded {
-		err = fmt.Errorf("%s: changed by someone else meanwhile, look again", key)
+	_, _ = fmt.Fprintln(notes, "sumactl:", err)
+	if e := (*exit)(nil); errors.As(err, &e) {
+		return e.code
 	}
-	return err
+	return exitFailed
 }
 
-func (c *ctl) follow(ctx context.Context) error {
-	s, err := c.watch.Watch(ctx)
-	if err != nil {
-		return err
-	}
-	err = s.Send(&pb.WatchRequest{RequestUnion: &pb.WatchRequest_CreateRequest{CreateRequest: &pb.WatchCreateRequest{
-		Key: []byte(c.prefix), RangeEnd: c.end()}}})
-	if err != nil {
-		return err
-	}
-	for {
-		r, err := s.Recv()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		for _, ev := range r.Events {
-			if _, err := fmt.Fprintf(c.out, "%d %s %s %s\n", ev.Kv.ModRevision, ev.Type, ev.Kv.Key[len(c.prefix):], ev.Kv.Value); err != nil {
-				return err
-			}
-		}
-	}
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
 }
--- a/cmd/sumactl/main_test.go
+++ b/cmd/sumactl/main_test.go
@@ -2,23 +2,23 @@
 
 import (
 	"bytes"
-	"context"
+	"encoding/json"
 	"io"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
-	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"sumacloft/internal/etcd"
 	"sumacloft/internal/standin"
 	"sumacloft/internal/store"
 )
 
-// The commands as a user types them, against a node of the store.
-func TestCommands(t *testing.T) {
+// serve serves a store of one node.
+func serve(t *testing.T) (endpoint string) {
 	raft, client := standin.Listen(t), standin.Listen(t)
 	p := store.Peer{ID: "one", Raft: raft.Addr().String(), Client: client.Addr().String()}
 	_ = raft.Close() // the node opens it again
@@ -28,38 +28,71 @@
 	}
 	t.Cleanup(func() { _ = n.Close() })
 	server := grpc.NewServer()
-	etcd.Register(server, n)
+	etcd.Register(server, n, map[string]string{"old": "apply a policy"})
 	go func() { _ = server.Serve(client) }()
 	t.Cleanup(server.Stop)
 	standin.Eventually(t, 5*time.Second, "the node leads", func() bool { return n.Leads() && n.Fresh() == nil })
-	conn, err := grpc.NewClient("passthrough:///"+p.Client, grpc.WithTransportCredentials(insecure.NewCredentials()))
-	if err != nil {
-		t.Fatal(err)
+	return p.Client
+}
+
+// The commands as a user types them, against a node of the store: some by an endpoint list whose first is dead, and
+// with the flags spelled as they once were.
+func TestCommands(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
 	}
-	t.Cleanup(func() { _ = conn.Close() })
-	for _, c := range []struct{ line, in, out, fault string }{
+	class := "[[chat.class]]\nname = \"q\"\neffect = \"safe\"\ndeadline_ms = 2000\n"
+	good, typo, twice := write("good.toml", class), write("typo.toml", class+"dead_line = 3\n"), write("twice.toml", class+class)
+	endpoint := serve(t)
+	for _, c := range []struct {
+		line, in, out, notes string
+		code                 int
+	}{
 		{line: "members"},
-		{line: "drain s-1", fault: "not there"},
+		{line: "drain s-1", notes: "not there", code: 1},
 		{line: "serve s-1 127.0.0.1:9"},
 		{line: "drain s-1"},
 		{line: "members", out: `"phase":"DRAINING"`},
 		{line: "put k -", in: "text\n"},
 		{line: "get k", out: "text"},
+		{line: "--output json get k", out: `"value": "text\n"`},
 		{line: "del k"},
-		{line: "get k", fault: "not there"},
+		{line: "get k", notes: "not there", code: 1},
+		{line: "put old x", notes: "apply a policy", code: 1},
 		{line: "remove s-1"},
 		{line: "members"},
-		{line: "put k", fault: "usage"},
-		{line: "", fault: "usage"},
+		{line: "put k", notes: "expected", code: 1},
+		{line: "", notes: "expected", code: 1},
+		{line: "policy status", out: "no policy yet"},
+		{line: "policy check " + good, out: "1 classes"},
+		{line: "policy apply " + typo, notes: "dead_line", code: 1},
+		{line: "policy apply " + twice, notes: "chat.class[1].name", code: 1},
+		{line: "policy apply --base 7 " + good, notes: "not 7 any more", code: 1},
+		{line: "policy apply " + good, out: "committed: version 1", notes: "checking"},
+		{line: "policy apply --note again " + good, out: "committed: version 2", notes: "preparing"},
+		{line: "policy rollback 1", out: "committed: version 3"},
+		{line: "policy rollback 9", notes: "not kept", code: 1},
+		{line: "policy show --version 2", out: `name = "q"`},
+		{line: "policy history", out: "back to version 1"},
+		{line: "--output json policy history", out: `"note": "again"`},
+		{line: "policy outcome 1-none", notes: "changed nothing", out: "aborted", code: 1},
+		{line: "policy schema", out: "json-schema.org"},
+		{line: "routers", out: "ROUTER"},
+		{line: "routers remove x", notes: "no router", code: 1},
 	} {
-		var out bytes.Buffer
-		ctl := ctl{pb.NewKVClient(conn), pb.NewWatchClient(conn), "m/", strings.NewReader(c.in), &out}
-		err := ctl.run(context.Background(), strings.Fields(c.line))
-		if c.fault == "" && (err != nil || !strings.Contains(out.String(), c.out) || (c.out == "" && out.Len() > 0)) {
-			t.Errorf("%q: %q, %v", c.line, out.String(), err)
+		var out, notes bytes.Buffer
+		args := append([]string{"-endpoint", "127.0.0.1:1," + endpoint, "-prefix=m/"}, strings.Fields(c.line)...)
+		code := run(t.Context(), args, strings.NewReader(c.in), &out, &notes)
+		if code != c.code || !strings.Contains(out.String(), c.out) || (c.out == "" && c.code == 0 && out.Len() > 0) || !strings.Contains(notes.String(), c.notes) {
+			t.Errorf("%q: exit %d, %q, %q", c.line, code, out.String(), notes.String())
 		}
-		if c.fault != "" && (err == nil || !strings.Contains(err.Error(), c.fault)) {
-			t.Errorf("%q: %v, must say %q", c.line, err, c.fault)
+		if strings.Contains(c.line, "json") && !json.Valid(out.Bytes()) {
+			t.Errorf("%q: no JSON: %s", c.line, out.String())
 		}
 	}
 }
--- /dev/null
+++ b/cmd/sumactl/members.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
+
+	"sumacloft/internal/discovery"
+)
+
+type getLine struct {
+	Key string `arg:"" help:"The key."`
+}
+
+// Run prints a value.
+func (l *getLine) Run(c *ctl) error {
+	ctx, done := c.call()
+	defer done()
+	r, err := c.store.Range(ctx, &pb.RangeRequest{Key: []byte(l.Key)})
+	if err != nil {
+		return err
+	}
+	if len(r.Kvs) == 0 {
+		return fmt.Errorf("%s: not there", l.Key)
+	}
+	return c.print(map[string]any{"key": l.Key, "value": string(r.Kvs[0].Value), "revision": r.Kvs[0].ModRevision}, func(w io.Writer) error {
+		_, err := fmt.Fprintln(w, string(r.Kvs[0].Value))
+		return err
+	})
+}
+
+type putLine struct {
+	Key   string `arg:"" help:"The key."`
+	Value string `arg:"" help:"The value; - is read from standard input."`
+}
+
+// Run sets a value.
+func (l *putLine) Run(c *ctl) error {
+	data := []byte(l.Value)
+	if l.Value == "-" {
+		var err error
+		if data, err = io.ReadAll(c.in); err != nil {
+			return err
+		}
+	}
+	ctx, done := c.call()
+	defer done()
+	_, err := c.store.Txn(ctx, &pb.TxnRequest{Success: []*pb.RequestOp{{Request: &pb.RequestOp_RequestPut{RequestPut: &pb.PutRequest{Key: []byte(l.Key), Value: data}}}}})
+	return err
+}
+
+type delLine struct {
+	Key string `arg:"" help:"The key."`
+}
+
+// Run removes a key.
+func (l *delLine) Run(c *ctl) error { return c.del(l.Key) }
+
+func (c *ctl) del(key string) error {
+	ctx, done := c.call()
+	defer done()
+	r, err := c.store.Txn(ctx, &pb.TxnRequest{Success: []*pb.RequestOp{{Request: &pb.RequestOp_RequestDeleteRange{RequestDeleteRange: &pb.DeleteRangeRequest{Key: []byte(key)}}}}})
+	if err == nil && r.Responses[0].GetResponseDeleteRange().Deleted == 0 {
+		err = fmt.Errorf("%s: not there", key)
+	}
+	return err
+}
+
+func (c *ctl) members() *pb.RangeRequest {
+	end := []byte(c.prefix)
+	end[len(end)-1]++
+	return &pb.RangeRequest{Key: []byte(c.prefix), RangeEnd: end}
+}
+
+type membersLine struct{}
+
+// Run lists the members.
+func (l *membersLine) Run(c *ctl) error {
+	ctx, done := c.call()
+	defer done()
+	r, err := c.store.Range(ctx, c.members())
+	if err != nil {
+		return err
+	}
+	list := map[string]json.RawMessage{}
+	for _, pair := range r.Kvs {
+		list[string(pair.Key[len(c.prefix):])] = pair.Value
+	}
+	return c.print(list, func(w io.Writer) error {
+		for _, pair := range r.Kvs {
+			if _, err := fmt.Fprintf(w, "%s %s\n", pair.Key[len(c.prefix):], pair.Value); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+type serveLine struct {
+	ID   string `arg:"" help:"The member."`
+	Addr string `arg:"" help:"Its HOST:PORT."`
+}
+
+// Run takes a member into service.
+func (l *serveLine) Run(c *ctl) error {
+	return c.change(l.ID, func(m *discovery.Member) { m.HostPort, m.Phase = l.Addr, "SERVING" }, true)
+}
+
+type drainLine struct {
+	ID string `arg:"" help:"The member."`
+}
+
+// Run drains a member.
+func (l *drainLine) Run(c *ctl) error {
+	return c.change(l.ID, func(m *discovery.Member) { m.Phase = "DRAINING" }, false)
+}
+
+type removeLine struct {
+	ID string `arg:"" help:"The member."`
+}
+
+// Run removes a member.
+func (l *removeLine) Run(c *ctl) error { return c.del(c.prefix + l.ID) }
+
+// change changes one member, if nobody else did since it was read.
+func (c *ctl) change(id string, how func(*discovery.Member), create bool) error {
+	ctx, done := c.call()
+	defer done()
+	key := []byte(c.prefix + id)
+	r, err := c.store.Range(ctx, &pb.RangeRequest{Key: key})
+	if err != nil {
+		return err
+	}
+	m, read := discovery.Member{Flavor: "chat"}, int64(0)
+	if len(r.Kvs) > 0 {
+		read = r.Kvs[0].ModRevision
+		if err := json.Unmarshal(r.Kvs[0].Value, &m); err != nil {
+			return fmt.Errorf("%s: %w", key, err)
+		}
+	} else if !create {
+		return fmt.Errorf("%s: not there", key)
+	}
+	m.ID = id
+	how(&m)
+	value, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	t, err := c.store.Txn(ctx, &pb.TxnRequest{
+		Compare: []*pb.Compare{{Key: key, Target: pb.Compare_MOD, TargetUnion: &pb.Compare_ModRevision{ModRevision: read}}},
+		Success: []*pb.RequestOp{{Request: &pb.RequestOp_RequestPut{RequestPut: &pb.PutRequest{Key: key, Value: value}}}}})
+	if err == nil && !t.Succeeded {
+		err = fmt.Errorf("%s: changed by someone else meanwhile, look again", key)
+	}
+	return err
+}
+
+type watchLine struct{}
+
+// Run prints changes until interrupted.
+func (l *watchLine) Run(c *ctl) error {
+	s, err := pb.NewWatchClient(c.store.Conn(0)).Watch(c.ctx)
+	if err != nil {
+		return err
+	}
+	r := c.members()
+	err = s.Send(&pb.WatchRequest{RequestUnion: &pb.WatchRequest_CreateRequest{CreateRequest: &pb.WatchCreateRequest{Key: r.Key, RangeEnd: r.RangeEnd}}})
+	if err != nil {
+		return err
+	}
+	for {
+		r, err := s.Recv()
+		if c.ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		for _, ev := range r.Events {
+			if _, err := fmt.Fprintf(c.out, "%d %s %s %s\n", ev.Kv.ModRevision, ev.Type, ev.Kv.Key[len(c.prefix):], ev.Kv.Value); err != nil {
+				return err
+			}
+		}
+	}
+}
--- /dev/null
+++ b/cmd/sumalab/main.go
@@ -0,0 +1,216 @@
+// Command sumalab is the laboratory of processes: it starts fleets of the built program, injects faults between them by
+// schedules drawn from seeds, and judges what their clients saw.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/alecthomas/kong"
+
+	"sumacloft/internal/lab"
+)
+
+type line struct {
+	Draw   drawLine   `cmd:"" help:"Print the schedule of a seed."`
+	Run    runLine    `cmd:"" help:"Run many schedules, drawn from seeds that follow one another."`
+	Replay replayLine `cmd:"" help:"Run one schedule from its print."`
+}
+
+type drawLine struct {
+	Seed    uint64 `arg:"" help:"The seed."`
+	Daemons int    `help:"How many daemons." default:"5"`
+}
+
+// Run prints a schedule.
+func (l *drawLine) Run(out io.Writer) error {
+	_, err := fmt.Fprint(out, lab.Draw(l.Seed, l.Daemons))
+	return err
+}
+
+type common struct {
+	Bin    string `help:"The folder of sumacloft and sumactl." default:"bin"`
+	Keep   string `help:"A folder in which files and logs of runs that failed are kept." default:"found"`
+	Broken string `help:"The rule to break, with programs built with -tags broken: no-hold, no-lapse or from-cache."`
+	Output string `help:"How to print: text or json." enum:"text,json" default:"text"`
+}
+
+type runLine struct {
+	Seed     uint64 `help:"The first seed." default:"1"`
+	Count    int    `help:"How many schedules." default:"20"`
+	Daemons  int    `help:"How many daemons." default:"5"`
+	Parallel int    `help:"How many at once." default:"4"`
+	First    bool   `help:"End at the first violation."`
+	common
+}
+
+// summary is what came of many schedules.
+type summary struct {
+	Ran        int            `json:"ran"`
+	Failed     int            `json:"failed"` // the laboratory itself did
+	Violations int            `json:"schedules_with_violations"`
+	Seeds      []uint64       `json:"seeds_with_violations"`
+	Requests   int            `json:"requests"`
+	Refused    int            `json:"refused"`
+	Lost       int            `json:"lost"`
+	Proposed   int            `json:"proposed"`
+	Committed  int            `json:"committed"`
+	Aborted    int            `json:"aborted"`
+	Rejected   int            `json:"rejected"`
+	Faults     map[string]int `json:"faults"`
+}
+
+func (s *summary) add(r lab.Report) {
+	s.Ran++
+	s.Requests, s.Refused, s.Lost = s.Requests+r.Requests, s.Refused+r.Refused, s.Lost+r.Lost
+	s.Proposed, s.Committed, s.Aborted, s.Rejected = s.Proposed+r.Proposed, s.Committed+r.Committed, s.Aborted+r.Aborted, s.Rejected+r.Rejected
+	for _, f := range r.Faults {
+		s.Faults[f]++
+	}
+	if len(r.Violations) > 0 {
+		s.Violations++
+		s.Seeds = append(s.Seeds, r.Seed)
+	}
+}
+
+// Run runs schedules side by side.
+func (l *runLine) Run(ctx context.Context, out io.Writer) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	total := summary{Faults: map[string]int{}}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	places := make(chan struct{}, max(l.Parallel, 1))
+	for i := range l.Count {
+		places <- struct{}{}
+		if ctx.Err() != nil {
+			break
+		}
+		wg.Add(1)
+		go func() {
+			defer func() { <-places; wg.Done() }()
+			s := lab.Draw(l.Seed+uint64(i), l.Daemons)
+			rep, err := l.carry(ctx, s)
+			mu.Lock()
+			defer mu.Unlock()
+			if ctx.Err() != nil {
+				return
+			}
+			if err != nil {
+				total.Failed++
+				fmt.Fprintf(os.Stderr, "seed %d: the laboratory failed: %v\n", s.Seed, err)
+				return
+			}
+			total.add(rep)
+			for _, v := range rep.Violations {
+				fmt.Fprintf(os.Stderr, "seed %d: VIOLATION: %s\n", s.Seed, v)
+			}
+			if len(rep.Violations) > 0 && l.First {
+				stop()
+			}
+			fmt.Fprintf(os.Stderr, "%d of %d: seed %d in %.1f s, %d changes (%d committed), %d requests\n", total.Ran+total.Failed, l.Count, s.Seed, rep.Took.Seconds(), rep.Proposed, rep.Committed, rep.Requests)
+		}()
+	}
+	wg.Wait()
+	slices.Sort(total.Seeds)
+	if err := l.show(out, total, fmt.Sprintf("%d schedules over %d daemons, %d with violations %v, %d that the laboratory failed at\n%d changes: %d committed, %d aborted, %d rejected\n%d requests under a version, %d refused, %d without an answer\nfaults: %v\n",
+		total.Ran, l.Daemons, total.Violations, total.Seeds, total.Failed, total.Proposed, total.Committed, total.Aborted, total.Rejected, total.Requests, total.Refused, total.Lost, total.Faults)); err != nil {
+		return err
+	}
+	if total.Violations+total.Failed > 0 {
+		return fmt.Errorf("%d schedules broke the promise, the laboratory failed at %d", total.Violations, total.Failed)
+	}
+	return nil
+}
+
+func (c common) show(out io.Writer, value any, text string) error {
+	if c.Output != "json" {
+		_, err := fmt.Fprint(out, text)
+		return err
+	}
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	return e.Encode(value)
+}
+
+// carry carries out one schedule in a folder of its own, which is kept only if something was wrong.
+func (c common) carry(ctx context.Context, s lab.Schedule) (lab.Report, error) {
+	dir, err := os.MkdirTemp("", "sumalab")
+	if err != nil {
+		return lab.Report{}, err
+	}
+	defer os.RemoveAll(dir)
+	o := lab.Options{Dir: dir, Bin: c.Bin}
+	if c.Broken != "" {
+		o.Env = []string{"SUMACLOFT_BROKEN=" + c.Broken}
+	}
+	rep, err := lab.Carry(ctx, s, o)
+	if (err != nil || len(rep.Violations) > 0) && ctx.Err() == nil {
+		to := filepath.Join(c.Keep, fmt.Sprint("seed-", s.Seed))
+		failed := os.MkdirAll(c.Keep, 0o700)
+		if failed == nil {
+			failed = os.RemoveAll(to)
+		}
+		if failed == nil {
+			failed = os.CopyFS(to, os.DirFS(dir))
+		}
+		if failed == nil {
+			failed = os.WriteFile(filepath.Join(to, "schedule"), []byte(s.String()+"# "+strings.Join(rep.Violations, "\n# ")+"\n"), 0o600)
+		}
+		if failed != nil {
+			fmt.Fprintln(os.Stderr, "what was found could not be kept:", failed)
+		}
+	}
+	return rep, err
+}
+
+type replayLine struct {
+	File string `arg:"" help:"A schedule, as 'draw' printed it or a failed run kept it; - is read from standard input."`
+	common
+}
+
+// Run runs one schedule.
+func (l *replayLine) Run(ctx context.Context, out io.Writer) error {
+	in := os.Stdin
+	if l.File != "-" {
+		f, err := os.Open(l.File)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		in = f
+	}
+	s, err := lab.Parse(in)
+	if err != nil {
+		return fmt.Errorf("%s: %w", l.File, err)
+	}
+	rep, err := l.carry(ctx, s)
+	if err != nil {
+		return err
+	}
+	if err := l.show(out, rep, fmt.Sprintf("%+v\n", rep)); err != nil {
+		return err
+	}
+	if len(rep.Violations) > 0 {
+		return fmt.Errorf("the promise was broken; logs are in %s", l.Keep)
+	}
+	return nil
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	var l line
+	k := kong.Parse(&l, kong.Name("sumalab"), kong.Description("Starts fleets of sumacloft, injects faults between them, and judges what clients saw."))
+	k.BindTo(ctx, (*context.Context)(nil))
+	k.BindTo(os.Stdout, (*io.Writer)(nil))
+	k.FatalIfErrorf(k.Run())
+}
--- a/internal/chat/front.go
+++ b/internal/chat/front.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"hash/fnv"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -32,29 +31,24 @@
 	idHeader      = "X-Request-Id"
 )
 
-// Front takes chat requests. Use New.
+// Front takes chat requests. Use New or NewGated.
 type Front struct {
-	core    *core.Core
-	servers *Servers
-	set     config.Chat
-	models  []string
-	class   map[string]int // by model
-	named   map[string]int // by the class's name
-	closing atomic.Bool
-	mux     *http.ServeMux
+	core        *core.Core
+	servers     *Servers
+	gate        Gate
+	showVersion bool // answers name the version that they were decided under
+	closing     atomic.Bool
+	mux         *http.ServeMux
 }
 
-// New makes a front.
+// New makes a front whose terms never change.
 func New(c *core.Core, servers *Servers, set config.Chat) *Front {
-	f := &Front{core: c, servers: servers, set: set, class: map[string]int{}, named: map[string]int{}, mux: http.NewServeMux()}
-	for i, k := range set.Classes {
-		f.named[k.Name] = i
-		for _, m := range k.Models {
-			f.class[m] = i
-			f.models = append(f.models, m)
-		}
-	}
-	slices.Sort(f.models)
+	return NewGated(c, servers, fixed{NewTerms(set, nil, 0)}, false)
+}
+
+// NewGated makes a front that takes each request under the terms that a gate gives for it.
+func NewGated(c *core.Core, servers *Servers, gate Gate, showVersion bool) *Front {
+	f := &Front{core: c, servers: servers, gate: gate, showVersion: showVersion, mux: http.NewServeMux()}
 	f.mux.HandleFunc("POST /v1/chat/completions", f.complete)
 	f.mux.HandleFunc("GET /v1/models", f.listModels)
 	f.mux.HandleFunc("GET /v1/models/{model}", f.oneModel)
@@ -90,6 +84,10 @@
 		fail(w, http.StatusServiceUnavailable, "server_error", "shutting_down", "shutting down")
 		return
 	}
+	if err := f.gate.Ready(); err != nil {
+		fail(w, http.StatusServiceUnavailable, "server_error", "policy_unsettled", err.Error())
+		return
+	}
 	answer(w, http.StatusOK, map[string]string{"status": "ok"})
 }
 
@@ -100,17 +98,25 @@
 	OwnedBy string `json:"owned_by"`
 }
 
-func (f *Front) listModels(w http.ResponseWriter, _ *http.Request) {
-	list := make([]model, 0, len(f.models))
-	for _, m := range f.models {
+func (f *Front) listModels(w http.ResponseWriter, req *http.Request) {
+	t, ok := f.take(w, req)
+	if !ok {
+		return
+	}
+	list := make([]model, 0, len(t.models))
+	for _, m := range t.models {
 		list = append(list, model{m, "model", 0, "sumacloft"})
 	}
 	answer(w, http.StatusOK, map[string]any{"object": "list", "data": list})
 }
 
 func (f *Front) oneModel(w http.ResponseWriter, req *http.Request) {
+	t, ok := f.take(w, req)
+	if !ok {
+		return
+	}
 	name := req.PathValue("model")
-	if _, known := f.class[name]; !known {
+	if _, known := t.class[name]; !known {
 		fail(w, http.StatusNotFound, "invalid_request_error", "model_not_found", fmt.Sprintf("the model %q does not exist", name))
 		return
 	}
@@ -124,7 +130,13 @@
 		refuseBody(w, err)
 		return
 	}
-	j, status, err := f.parse(req, body)
+	came := time.Now()
+	t, ok := f.take(w, req)
+	if !ok {
+		free()
+		return
+	}
+	j, status, err := f.parse(t, req, body)
 	if err != nil {
 		free()
 		code := "invalid_value"
@@ -135,6 +147,7 @@
 		return
 	}
 	j.free = free
+	j.arrival.Left -= time.Since(came) // it may have waited for a change of policy
 	out := &client{w: w, rc: http.NewResponseController(w), job: j}
 	f.core.Do(req.Context(), j, out)
 	if out.broken {
@@ -165,7 +178,7 @@
 	MaxNew   *float64          `json:"max_completion_tokens"`
 }
 
-func (f *Front) parse(req *http.Request, body []byte) (*job, int, error) {
+func (f *Front) parse(t *Terms, req *http.Request, body []byte) (*job, int, error) {
 	var a asked
 	if err := json.Unmarshal(body, &a); err != nil {
 		return nil, http.StatusBadRequest, fmt.Errorf("the body is not a chat completion request: %w", err)
@@ -176,7 +189,7 @@
 	if len(a.Messages) == 0 {
 		return nil, http.StatusBadRequest, errors.New("messages: missing or empty")
 	}
-	limit := f.set.MaxTokens
+	limit := t.set.MaxTokens
 	for _, v := range []*float64{a.Max, a.MaxNew} {
 		if v != nil {
 			if !(*v >= 1) {
@@ -185,29 +198,29 @@
 			limit = *v
 		}
 	}
-	class, known := f.class[*a.Model]
-	if name := req.Header.Get(f.set.ClassHeader); name != "" {
-		if class, known = f.named[name]; !known {
-			return nil, http.StatusBadRequest, fmt.Errorf("%s: %q is not a class", f.set.ClassHeader, name)
+	class, known := t.class[*a.Model]
+	if name := req.Header.Get(t.set.ClassHeader); name != "" {
+		if class, known = t.named[name]; !known {
+			return nil, http.StatusBadRequest, fmt.Errorf("%s: %q is not a class", t.set.ClassHeader, name)
 		}
 	}
 	if !known {
-		if f.set.Unknown == config.UnknownReject {
+		if t.set.Unknown == config.UnknownReject {
 			return nil, http.StatusNotFound, fmt.Errorf("the model %q does not exist", *a.Model)
 		}
-		class = len(f.set.Classes) // the last one: it must never run twice
+		class = len(t.set.Classes) // the last one: it must never run twice
 	}
 	j := &job{servers: f.servers, body: body, stream: a.Stream, auth: req.Header.Get("Authorization"),
-		contentType: req.Header.Get("Content-Type"), arrival: brain.Arrived{Class: class, MaxTokens: limit,
-			Left: f.patience(class, a.Stream)}}
-	f.measure(&j.arrival, a.Messages, req.Header.Get(f.set.SessionHeader))
+		contentType: req.Header.Get("Content-Type"), arrival: brain.Arrived{Class: t.places[class], MaxTokens: limit,
+			Left: t.patience(class, a.Stream)}}
+	f.measure(&j.arrival, a.Messages, req.Header.Get(t.set.SessionHeader))
 	return j, 0, nil
 }
 
 // patience is how long the answer may take to begin. One that does not stream begins when it is whole.
-func (f *Front) patience(class int, stream bool) time.Duration {
+func (t *Terms) patience(class int, stream bool) time.Duration {
 	longest := 0.0
-	for i, k := range f.set.Classes {
+	for i, k := range t.set.Classes {
 		wait := k.DeadlineMs
 		if !stream {
 			wait = k.WholeMs
@@ -254,8 +267,7 @@
 // Refuse says that trying again is harmless, and when.
 func (c *client) Refuse(holdOff time.Duration) {
 	if holdOff > 0 {
-		c.w.Header().Set("Retry-After", strconv.FormatFloat(holdOff.Seconds(), 'f', 3, 64))
-		c.w.Header().Set("Retry-After-Ms", strconv.FormatInt(holdOff.Milliseconds(), 10))
+		retryAfter(c.w, holdOff)
 	}
 	fail(c.w, http.StatusServiceUnavailable, "server_error", "overloaded", "no server can take the request now; it has not run")
 }
--- a/internal/config/catalog.go
+++ b/internal/config/catalog.go
@@ -9,7 +9,7 @@
 // request keeps the place it came with; settings read again add places for the classes that are new or whose
 // terms changed, and name only their own classes. Its zero value is empty; it is safe for concurrent use.
 type Catalog struct {
-	all   []Class                        // by place; only Take writes it
+	all   places[Class]                  // only Take writes it
 	names atomic.Pointer[map[string]int] // the current classes' places
 }
 
@@ -17,13 +17,8 @@
 // It is called by one goroutine at a time.
 func (c *Catalog) Take(s Settings) Settings {
 	names := make(map[string]int, len(s.Classes))
-	for _, class := range s.Classes {
-		at := slices.Index(c.all, class)
-		if at < 0 {
-			at = len(c.all)
-			c.all = append(c.all, class)
-		}
-		names[class.Name] = at
+	for i, at := range c.all.take(s.Classes) {
+		names[s.Classes[i].Name] = at
 	}
 	c.names.Store(&names)
 	s.Classes = slices.Clone(c.all)
@@ -39,3 +34,18 @@
 	}
 	return -1
 }
+
+// places holds each thing once, at a place that it keeps.
+type places[T comparable] []T
+
+// take gives each thing its place, a new one if it has none.
+func (p *places[T]) take(list []T) []int {
+	out := make([]int, len(list))
+	for i, one := range list {
+		if out[i] = slices.Index(*p, one); out[i] < 0 {
+			out[i] = len(*p)
+			*p = append(*p, one)
+		}
+	}
+	return out
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -23,6 +23,7 @@
 	Chat      Chat    `toml:"chat"`
 	Members   Members `toml:"members"`
 	Store     Store   `toml:"store"`
+	Policy    Policy  `toml:"policy"`
 }
 
 // Members says where the list of servers is watched in etcd's API; without endpoints it is not.
@@ -33,10 +34,12 @@
 
 // Store sets up this daemon's node of the replicated store; without an id there is none.
 type Store struct {
-	ID        string      `toml:"id"`
-	Dir       string      `toml:"dir"`        // "" keeps nothing over a restart
-	ConfigKey string      `toml:"config_key"` // where the store holds [chat]; "" for nowhere
-	Peers     []StorePeer `toml:"peer"`
+	ID        string `toml:"id"`
+	Dir       string `toml:"dir"`        // "" keeps nothing over a restart
+	ConfigKey string `toml:"config_key"` // where the store held [chat] before there were policies; "" for nowhere
+	// HeartbeatMs is how long a node waits for its leader before it stands for election itself; 0: a second.
+	HeartbeatMs float64     `toml:"heartbeat_ms"`
+	Peers       []StorePeer `toml:"peer"`
 }
 
 // StorePeer is one node of the store.
@@ -46,6 +49,9 @@
 	Client string `toml:"client"`
 }
 
+// minHeartbeatMs is the shortest time in which a busy machine still hears a leader.
+const minHeartbeatMs = 50
+
 // Self is this daemon's node, once checked.
 func (s Store) Self() StorePeer {
 	for _, p := range s.Peers {
@@ -56,6 +62,17 @@
 	return StorePeer{}
 }
 
+// endpoints are those of the store's nodes, this daemon's first.
+func (s Store) endpoints() []string {
+	out := []string{s.Self().Client}
+	for _, p := range s.Peers {
+		if p.ID != s.ID {
+			out = append(out, p.Client)
+		}
+	}
+	return out
+}
+
 func (s Store) check() error {
 	if s.ID == "" {
 		if len(s.Peers) > 0 {
@@ -80,6 +97,9 @@
 	if !ids[s.ID] {
 		return fmt.Errorf("store.id: %q is none of store.peer", s.ID)
 	}
+	if s.HeartbeatMs != 0 && !(s.HeartbeatMs >= minHeartbeatMs) {
+		return fmt.Errorf("store.heartbeat_ms: %g, at least %d", s.HeartbeatMs, minHeartbeatMs)
+	}
 	return nil
 }
 
@@ -88,12 +108,7 @@
 		return fmt.Errorf("members.prefix: missing")
 	}
 	if s.ID != "" && len(m.Endpoints) == 0 { // the store's own nodes, this one first
-		m.Endpoints = append(m.Endpoints, s.Self().Client)
-		for _, p := range s.Peers {
-			if p.ID != s.ID {
-				m.Endpoints = append(m.Endpoints, p.Client)
-			}
-		}
+		m.Endpoints = s.endpoints()
 	}
 	for i, e := range m.Endpoints {
 		if err := address(fmt.Sprintf("members.endpoints[%d]", i), e); err != nil {
@@ -182,12 +197,16 @@
 // kindChat is the one kind of server behind the chat front; it reads and answers.
 const kindChat = "chat"
 
+func defaultChat() Chat {
+	return Chat{ClassHeader: "X-Request-Class", SessionHeader: "X-Session-Id", Unknown: UnknownReject, HealthPath: "/health",
+		MaxAttempts: 3, MaxRetryAfterMs: 2000, ConnectTimeoutMs: 250, ConnIdleMs: 30000, MemoryTokens: 200000, MaxTokens: 1024}
+}
+
 // ReadOperator reads an operator's file.
 func ReadOperator(path string) (Operator, error) {
 	o := Operator{Name: "sumacloft", Store: Store{ConfigKey: "/sumacloft/config/chat"},
-		Members: Members{Prefix: "/sumacloft/members/"}, Chat: Chat{ClassHeader: "X-Request-Class", SessionHeader: "X-Session-Id",
-			Unknown: UnknownReject, HealthPath: "/health", MaxAttempts: 3, MaxRetryAfterMs: 2000, ConnectTimeoutMs: 250,
-			ConnIdleMs: 30000, MemoryTokens: 200000, MaxTokens: 1024}}
+		Members: Members{Prefix: "/sumacloft/members/"}, Chat: defaultChat(),
+		Policy: Policy{OnLapse: LapseRefuse, LeaseS: 3, HoldMs: 500, HoldMost: 1024}}
 	meta, err := toml.DecodeFile(path, &o)
 	if err != nil {
 		return o, fmt.Errorf("%s: %w", path, err)
@@ -214,6 +233,9 @@
 	if err := o.Members.check(o.Store); err != nil {
 		return o, err
 	}
+	if err := o.Policy.check(o.Store); err != nil {
+		return o, err
+	}
 	if o.Discovery != "" && len(o.Members.Endpoints) > 0 {
 		return o, fmt.Errorf("discovery: there are members.endpoints (or a store) too; only one can name the servers")
 	}
--- /dev/null
+++ b/internal/etcd/client.go
@@ -0,0 +1,214 @@
+package etcd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
+	"go.etcd.io/etcd/api/v3/v3rpc/rpctypes"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+)
+
+// Client asks any of a store's endpoints; one that is dead or has no leader is passed over. It is safe for concurrent
+// use.
+type Client struct {
+	endpoints []string
+	conns     []*grpc.ClientConn
+
+	mu   sync.Mutex
+	good int // the endpoint that answered last
+}
+
+// clientTry is how long one endpoint is waited for before the next is asked.
+const clientTry = 700 * time.Millisecond
+
+// ErrUnknown says that a change was sent and its answer was lost: it may have been made or not.
+var ErrUnknown = errors.New("the answer was lost: the change may have been made or not")
+
+// NewClient makes a client; nothing is dialled yet.
+func NewClient(endpoints []string) (*Client, error) {
+	if len(endpoints) == 0 {
+		return nil, errors.New("no endpoint of a store is named")
+	}
+	c := &Client{endpoints: endpoints}
+	quick := backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}
+	for _, e := range endpoints {
+		conn, err := grpc.NewClient("passthrough:///"+e, grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithConnectParams(grpc.ConnectParams{Backoff: quick, MinConnectTimeout: clientTry}))
+		if err != nil {
+			return nil, errors.Join(fmt.Errorf("%s: %w", e, err), c.Close())
+		}
+		c.conns = append(c.conns, conn)
+	}
+	return c, nil
+}
+
+// Close ends the client's connections.
+func (c *Client) Close() error {
+	var all error
+	for _, conn := range c.conns {
+		all = errors.Join(all, conn.Close())
+	}
+	return all
+}
+
+// Conn is the connection to one endpoint, by its place.
+func (c *Client) Conn(i int) *grpc.ClientConn { return c.conns[i%len(c.conns)] }
+
+// Endpoints are the endpoints' addresses.
+func (c *Client) Endpoints() []string { return c.endpoints }
+
+// do asks one endpoint after the other, each for a while, until one answers or the error is the store's word. Only
+// errors after which the call has surely not been carried out go to the next endpoint, unless it is harmless to
+// ask again.
+func (c *Client) do(ctx context.Context, again bool, call func(context.Context, *grpc.ClientConn) error) error {
+	c.mu.Lock()
+	first := c.good
+	c.mu.Unlock()
+	var last error
+	for i := range c.conns {
+		at := (first + i) % len(c.conns)
+		try, done := context.WithTimeout(ctx, clientTry)
+		err := call(try, c.conns[at])
+		done()
+		if err == nil || !passing(err) {
+			c.mu.Lock()
+			c.good = at
+			c.mu.Unlock()
+			return err
+		}
+		last = fmt.Errorf("%s: %w", c.endpoints[at], err)
+		if ctx.Err() != nil || (!again && !refused(err)) {
+			break
+		}
+	}
+	if !again && !refused(last) {
+		return errors.Join(ErrUnknown, last)
+	}
+	return last
+}
+
+// passing tells whether an error says something of the endpoint only.
+func passing(err error) bool {
+	switch status.Code(err) {
+	case codes.Unavailable, codes.DeadlineExceeded, codes.Canceled, codes.Unknown, codes.Internal:
+		return true
+	}
+	return false
+}
+
+// refused tells whether the endpoint surely did not take the call: it was never ready, or had no leader to pass it to.
+func refused(err error) bool {
+	return status.Code(err) == codes.Unavailable && (errors.Is(err, errNotReady) || status.Convert(err).Message() == status.Convert(rpctypes.ErrGRPCNoLeader).Message())
+}
+
+var errNotReady = errors.New("not ready")
+
+// ready waits until a connection is up; a call made before that could not be told from one that was sent.
+func ready(ctx context.Context, conn *grpc.ClientConn) error {
+	// An answer from this endpoint's own copy tells that the connection is up.
+	_, err := pb.NewKVClient(conn).Range(ctx, &pb.RangeRequest{Key: []byte{0}, Serializable: true, CountOnly: true})
+	if err != nil {
+		return &notReady{err}
+	}
+	return nil
+}
+
+// notReady is an error of the look before a call.
+type notReady struct{ err error }
+
+func (e *notReady) Error() string              { return e.err.Error() }
+func (e *notReady) Is(target error) bool       { return target == errNotReady }
+func (e *notReady) GRPCStatus() *status.Status { return status.New(codes.Unavailable, e.err.Error()) }
+
+// Range reads, from the leader unless the request is content with less.
+func (c *Client) Range(ctx context.Context, r *pb.RangeRequest) (out *pb.RangeResponse, err error) {
+	err = c.do(ctx, true, func(ctx context.Context, conn *grpc.ClientConn) (err error) {
+		out, err = pb.NewKVClient(conn).Range(ctx, r)
+		return err
+	})
+	return out, err
+}
+
+// Txn makes a transaction, once. After ErrUnknown it may have been made or not.
+func (c *Client) Txn(ctx context.Context, r *pb.TxnRequest) (out *pb.TxnResponse, err error) {
+	err = c.do(ctx, false, func(ctx context.Context, conn *grpc.ClientConn) error {
+		if err := ready(ctx, conn); err != nil {
+			return err
+		}
+		out, err = pb.NewKVClient(conn).Txn(ctx, r)
+		return err
+	})
+	return out, err
+}
+
+// Grant grants a lease of some seconds. One whose grant is lost ends by itself.
+func (c *Client) Grant(ctx context.Context, ttl int64) (id int64, err error) {
+	err = c.do(ctx, true, func(ctx context.Context, conn *grpc.ClientConn) error {
+		r, err := pb.NewLeaseClient(conn).LeaseGrant(ctx, &pb.LeaseGrantRequest{TTL: ttl})
+		if err == nil {
+			id = r.ID
+		}
+		return err
+	})
+	return id, err
+}
+
+// KeepAlive renews a lease once; alive tells whether it still exists. revision is the store's at that moment.
+func (c *Client) KeepAlive(ctx context.Context, id int64) (alive bool, revision int64, err error) {
+	err = c.do(ctx, true, func(ctx context.Context, conn *grpc.ClientConn) error {
+		r, err := keepAlive(ctx, pb.NewLeaseClient(conn), id)
+		if err == nil {
+			alive, revision = r.TTL > 0, r.Header.GetRevision()
+		}
+		return err
+	})
+	return alive, revision, err
+}
+
+// Left tells how long a lease has to go by the leader's clock, in whole seconds; below 0 it is over.
+func (c *Client) Left(ctx context.Context, id int64) (seconds int64, err error) {
+	err = c.do(ctx, true, func(ctx context.Context, conn *grpc.ClientConn) error {
+		r, err := pb.NewLeaseClient(conn).LeaseTimeToLive(ctx, &pb.LeaseTimeToLiveRequest{ID: id})
+		if err == nil {
+			seconds = r.TTL
+		}
+		return err
+	})
+	return seconds, err
+}
+
+// Revoke ends a lease, and with it its keys.
+func (c *Client) Revoke(ctx context.Context, id int64) error {
+	return c.do(ctx, true, func(ctx context.Context, conn *grpc.ClientConn) error {
+		_, err := pb.NewLeaseClient(conn).LeaseRevoke(ctx, &pb.LeaseRevokeRequest{ID: id})
+		return err
+	})
+}
+
+// Notify tells of every change under a prefix, and that a watch has begun, by the place of the endpoint that is
+// watched, until ctx ends. What changed is to be read there.
+func (c *Client) Notify(ctx context.Context, prefix string, tell func(endpoint int)) {
+	for i := 0; ctx.Err() == nil; i++ {
+		at := i % len(c.conns)
+		err := watch(ctx, c.conns[at], prefix, 0, func(r *pb.WatchResponse) error {
+			if r.Created || len(r.Events) > 0 {
+				tell(at)
+			}
+			return nil
+		})
+		if err != nil && ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(retryPause):
+			}
+		}
+	}
+}
--- a/internal/etcd/etcd_test.go
+++ b/internal/etcd/etcd_test.go
@@ -50,7 +50,7 @@
 			t.Fatal(err)
 		}
 		g := grpc.NewServer()
-		Register(g, n)
+		Register(g, n, nil)
 		go func() { _ = g.Serve(listeners[i]) }()
 		out := &node{n, g, p.Client}
 		t.Cleanup(out.stop)
--- a/internal/etcd/members.go
+++ b/internal/etcd/members.go
@@ -57,12 +57,6 @@
 	}
 }
 
-func (m *Members) end() []byte {
-	end := []byte(m.Prefix)
-	end[len(end)-1]++
-	return end
-}
-
 func (m *Members) follow(ctx context.Context, endpoint string, revision *int64, tell func(discovery.List)) error {
 	conn, err := grpc.NewClient("passthrough:///"+endpoint, grpc.WithTransportCredentials(insecure.NewCredentials()))
 	if err != nil {
@@ -71,7 +65,7 @@
 	defer conn.Close()
 	if *revision == 0 {
 		call, done := context.WithTimeout(ctx, callLimit)
-		resp, err := pb.NewKVClient(conn).Range(call, &pb.RangeRequest{Key: []byte(m.Prefix), RangeEnd: m.end()})
+		resp, err := pb.NewKVClient(conn).Range(call, &pb.RangeRequest{Key: []byte(m.Prefix), RangeEnd: prefixEnd(m.Prefix)})
 		done()
 		if err != nil {
 			return err
@@ -89,6 +83,24 @@
 }
 
 func (m *Members) watch(ctx context.Context, conn *grpc.ClientConn, revision *int64, tell func(discovery.List)) error {
+	return watch(ctx, conn, m.Prefix, *revision+1, func(resp *pb.WatchResponse) error {
+		if !resp.Created { // its revision says nothing about what this watch has been sent
+			m.events(resp, revision, tell)
+		}
+		return nil
+	})
+}
+
+// prefixEnd is the end of the range of keys that begin with a prefix.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	end[len(end)-1]++
+	return end
+}
+
+// watch hears all that is sent on a watch of a prefix from a revision on, 0 for now. It ends with an error when the
+// watch breaks, is cancelled or falls silent: errLost where events were compacted away before they were read.
+func watch(ctx context.Context, conn *grpc.ClientConn, prefix string, from int64, hear func(*pb.WatchResponse) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	quiet := time.AfterFunc(silence, func() { cancel(fmt.Errorf("silent for %v", silence)) })
@@ -98,7 +110,7 @@
 		return err
 	}
 	err = stream.Send(&pb.WatchRequest{RequestUnion: &pb.WatchRequest_CreateRequest{CreateRequest: &pb.WatchCreateRequest{
-		Key: []byte(m.Prefix), RangeEnd: m.end(), StartRevision: *revision + 1}}})
+		Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: from}}})
 	if err != nil {
 		return err
 	}
@@ -131,10 +143,10 @@
 			return errLost
 		case resp.Canceled:
 			return fmt.Errorf("cancelled: %s", resp.CancelReason)
-		case resp.Created:
-			continue // its revision says nothing about what this watch has been sent
 		}
-		m.events(resp, revision, tell)
+		if err := hear(resp); err != nil {
+			return err
+		}
 	}
 }
 
--- a/internal/etcd/server.go
+++ b/internal/etcd/server.go
@@ -1,5 +1,5 @@
-// Package etcd speaks etcd's v3 API: it serves the daemon's store with the calls for keys and watches, and it
-// follows members in any store that does so. Leases, authentication and cluster administration are not served.
+// Package etcd speaks etcd's v3 API: it serves the daemon's store with the calls for keys, watches and leases, and it
+// follows members in any store that does so. Authentication and cluster administration are not served.
 package etcd
 
 import (
@@ -15,8 +15,10 @@
 	"go.etcd.io/etcd/api/v3/mvccpb"
 	"go.etcd.io/etcd/api/v3/v3rpc/rpctypes"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
 
 	"sumacloft/internal/store"
 )
@@ -33,37 +35,41 @@
 type Server struct {
 	pb.UnimplementedKVServer
 	pb.UnimplementedWatchServer
-	node *store.Node
+	pb.UnimplementedLeaseServer
+	node     *store.Node
+	reserved map[string]string // by key: why it is not written by hand
 
 	mu   sync.Mutex
 	conn *grpc.ClientConn // to the leader that was asked last
 	addr string
 }
 
-// Register adds the services for a node to a gRPC server.
-func Register(g *grpc.Server, node *store.Node) *Server {
-	s := &Server{node: node}
+// Register adds the services for a node to a gRPC server. A reserved key is not written here, with the reason given.
+func Register(g *grpc.Server, node *store.Node, reserved map[string]string) *Server {
+	s := &Server{node: node, reserved: reserved}
+	pb.RegisterLeaseServer(g, s)
 	pb.RegisterKVServer(g, s)
 	pb.RegisterWatchServer(g, s)
 	return s
 }
 
-func hashed(text string) uint64 {
+// MemberID is the id that a node of this name has in the headers of answers; a read from the leader bears the leader's.
+func MemberID(name string) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(text)) // never fails
+	_, _ = h.Write([]byte(name)) // never fails
 	return h.Sum64()
 }
 
 func (s *Server) header(rev int64) *pb.ResponseHeader {
-	return &pb.ResponseHeader{MemberId: hashed(s.node.Self().ID), Revision: rev}
+	return &pb.ResponseHeader{MemberId: MemberID(s.node.Self().ID), Revision: rev}
 }
 
 // forwarded marks a call that a node has passed on to the leader as it knew it.
 const forwarded = "sumacloft-forwarded"
 
-// leader gives a client of the node that leads, and the context for a call to it. A call is passed on once: nodes
+// leader gives a connection to the node that leads, and the context for a call to it. A call is passed on once: nodes
 // that each take the other for the leader would else hand it to and fro.
-func (s *Server) leader(ctx context.Context) (pb.KVClient, context.Context, error) {
+func (s *Server) leader(ctx context.Context) (*grpc.ClientConn, context.Context, error) {
 	p, ok := s.node.Leader()
 	if !ok || p.ID == s.node.Self().ID || len(metadata.ValueFromIncomingContext(ctx, forwarded)) > 0 {
 		return nil, nil, rpctypes.ErrGRPCNoLeader
@@ -80,49 +86,58 @@
 		}
 		s.conn, s.addr = conn, p.Client
 	}
-	return pb.NewKVClient(s.conn), metadata.AppendToOutgoingContext(ctx, forwarded, "1"), nil
+	return s.conn, metadata.AppendToOutgoingContext(ctx, forwarded, "1"), nil
 }
 
 // propose has the cluster agree, here or through the leader. What went out to a leader is not sent again.
-func propose[R any](ctx context.Context, s *Server, req *pb.InternalRaftRequest, forward func(context.Context, pb.KVClient) (R, error)) (R, error) {
+func propose[R any](ctx context.Context, s *Server, req *pb.InternalRaftRequest, forward func(context.Context, *grpc.ClientConn) (R, error)) (R, error) {
 	var none R
 	out, err := s.node.Apply(req)
 	switch {
 	case err == nil:
 		return out.(R), nil
 	case errors.Is(err, store.ErrNotLeader):
-		kv, ctx, err := s.leader(ctx)
+		conn, ctx, err := s.leader(ctx)
 		if err != nil {
 			return none, err
 		}
 		ctx, cancel := context.WithTimeout(ctx, forwardLimit)
 		defer cancel()
-		return forward(ctx, kv)
-	case errors.Is(err, store.ErrCompacted):
-		return none, rpctypes.ErrGRPCCompacted
-	case errors.Is(err, store.ErrFuture):
-		return none, rpctypes.ErrGRPCFutureRev
+		return forward(ctx, conn)
+	}
+	if fault := faults[err]; fault != nil {
+		return none, fault
 	}
 	return none, rpctypes.ErrGRPCTimeout
 }
 
 // Put serves pb.KVServer.
 func (s *Server) Put(ctx context.Context, r *pb.PutRequest) (*pb.PutResponse, error) {
-	if err := checkPut(r); err != nil {
+	if err := s.checkPut(r); err != nil {
 		return nil, err
 	}
-	return propose(ctx, s, &pb.InternalRaftRequest{Put: r}, func(ctx context.Context, kv pb.KVClient) (*pb.PutResponse, error) { return kv.Put(ctx, r) })
+	return propose(ctx, s, &pb.InternalRaftRequest{Put: r}, func(ctx context.Context, conn *grpc.ClientConn) (*pb.PutResponse, error) {
+		return pb.NewKVClient(conn).Put(ctx, r)
+	})
 }
 
-func checkPut(r *pb.PutRequest) error {
+func (s *Server) checkPut(r *pb.PutRequest) error {
 	switch {
 	case len(r.Key) == 0:
 		return rpctypes.ErrGRPCEmptyKey
-	case r.Lease != 0:
-		return rpctypes.ErrGRPCLeaseNotFound
 	case r.IgnoreValue || r.IgnoreLease:
 		return rpctypes.ErrGRPCNotCapable
 	}
+	return s.open(r.Key, nil)
+}
+
+// open refuses to write a reserved key.
+func (s *Server) open(key, end []byte) error {
+	for name, why := range s.reserved {
+		if store.In(name, key, end) {
+			return status.Errorf(codes.FailedPrecondition, "%s: %s", name, why)
+		}
+	}
 	return nil
 }
 
@@ -131,29 +146,34 @@
 	if len(r.Key) == 0 {
 		return nil, rpctypes.ErrGRPCEmptyKey
 	}
-	return propose(ctx, s, &pb.InternalRaftRequest{DeleteRange: r}, func(ctx context.Context, kv pb.KVClient) (*pb.DeleteRangeResponse, error) {
-		return kv.DeleteRange(ctx, r)
+	if err := s.open(r.Key, r.RangeEnd); err != nil {
+		return nil, err
+	}
+	return propose(ctx, s, &pb.InternalRaftRequest{DeleteRange: r}, func(ctx context.Context, conn *grpc.ClientConn) (*pb.DeleteRangeResponse, error) {
+		return pb.NewKVClient(conn).DeleteRange(ctx, r)
 	})
 }
 
 // Txn serves pb.KVServer. Transactions do not nest, and a key changes once in each.
 func (s *Server) Txn(ctx context.Context, r *pb.TxnRequest) (*pb.TxnResponse, error) {
 	for _, ops := range [...][]*pb.RequestOp{r.Success, r.Failure} {
-		if err := checkOps(ops); err != nil {
+		if err := s.checkOps(ops); err != nil {
 			return nil, err
 		}
 	}
-	return propose(ctx, s, &pb.InternalRaftRequest{Txn: r}, func(ctx context.Context, kv pb.KVClient) (*pb.TxnResponse, error) { return kv.Txn(ctx, r) })
+	return propose(ctx, s, &pb.InternalRaftRequest{Txn: r}, func(ctx context.Context, conn *grpc.ClientConn) (*pb.TxnResponse, error) {
+		return pb.NewKVClient(conn).Txn(ctx, r)
+	})
 }
 
-func checkOps(ops []*pb.RequestOp) error {
+func (s *Server) checkOps(ops []*pb.RequestOp) error {
 	puts := map[string]bool{}
 	for _, op := range ops {
 		switch {
 		case op.GetRequestTxn() != nil:
 			return rpctypes.ErrGRPCNotCapable
 		case op.GetRequestPut() != nil:
-			if err := checkPut(op.GetRequestPut()); err != nil {
+			if err := s.checkPut(op.GetRequestPut()); err != nil {
 				return err
 			}
 			key := string(op.GetRequestPut().Key)
@@ -165,6 +185,9 @@
 	}
 	for _, op := range ops {
 		if d := op.GetRequestDeleteRange(); d != nil {
+			if err := s.open(d.Key, d.RangeEnd); err != nil {
+				return err
+			}
 			for key := range puts {
 				if key == string(d.Key) || len(d.RangeEnd) > 0 {
 					return rpctypes.ErrGRPCDuplicateKey
@@ -177,8 +200,8 @@
 
 // Compact serves pb.KVServer.
 func (s *Server) Compact(ctx context.Context, r *pb.CompactionRequest) (*pb.CompactionResponse, error) {
-	return propose(ctx, s, &pb.InternalRaftRequest{Compaction: r}, func(ctx context.Context, kv pb.KVClient) (*pb.CompactionResponse, error) {
-		return kv.Compact(ctx, r)
+	return propose(ctx, s, &pb.InternalRaftRequest{Compaction: r}, func(ctx context.Context, conn *grpc.ClientConn) (*pb.CompactionResponse, error) {
+		return pb.NewKVClient(conn).Compact(ctx, r)
 	})
 }
 
@@ -189,13 +212,13 @@
 	}
 	if !r.Serializable {
 		if !s.node.Leads() || s.node.Fresh() != nil {
-			kv, ctx, err := s.leader(ctx)
+			conn, ctx, err := s.leader(ctx)
 			if err != nil {
 				return nil, err
 			}
 			ctx, cancel := context.WithTimeout(ctx, forwardLimit)
 			defer cancel()
-			return kv.Range(ctx, r)
+			return pb.NewKVClient(conn).Range(ctx, r)
 		}
 	}
 	pairs, rev, err := s.node.Range(r.Key, r.RangeEnd, r.Revision)
--- a/internal/store/apply.go
+++ b/internal/store/apply.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"time"
 
 	"github.com/hashicorp/raft"
 	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
@@ -15,7 +16,10 @@
 )
 
 // fsm applies raft's log to a kv. An entry is one of etcd's internal raft requests.
-type fsm struct{ kv *kv }
+type fsm struct {
+	kv  *kv
+	now func() time.Duration // monotonic, of any origin
+}
 
 // applied is the outcome of an entry.
 type applied struct {
@@ -31,14 +35,33 @@
 	}
 	switch {
 	case req.Put != nil:
-		r := f.txn(&pb.TxnRequest{Success: []*pb.RequestOp{{Request: &pb.RequestOp_RequestPut{RequestPut: req.Put}}}})
+		r, err := f.txn(&pb.TxnRequest{Success: []*pb.RequestOp{{Request: &pb.RequestOp_RequestPut{RequestPut: req.Put}}}})
+		if err != nil {
+			return applied{err: err}
+		}
 		return applied{response: &pb.PutResponse{Header: r.Header, PrevKv: r.Responses[0].GetResponsePut().PrevKv}}
 	case req.DeleteRange != nil:
-		r := f.txn(&pb.TxnRequest{Success: []*pb.RequestOp{{Request: &pb.RequestOp_RequestDeleteRange{RequestDeleteRange: req.DeleteRange}}}})
+		r, _ := f.txn(&pb.TxnRequest{Success: []*pb.RequestOp{{Request: &pb.RequestOp_RequestDeleteRange{RequestDeleteRange: req.DeleteRange}}}})
 		d := r.Responses[0].GetResponseDeleteRange()
 		return applied{response: &pb.DeleteRangeResponse{Header: r.Header, Deleted: d.Deleted, PrevKvs: d.PrevKvs}}
 	case req.Txn != nil:
-		return applied{response: f.txn(req.Txn)}
+		r, err := f.txn(req.Txn)
+		return applied{response: r, err: err}
+	case req.LeaseGrant != nil:
+		g := req.LeaseGrant
+		err := f.kv.grant(g.ID, g.TTL, f.now())
+		return applied{response: &pb.LeaseGrantResponse{Header: f.header(), ID: g.ID, TTL: g.TTL}, err: err}
+	case req.LeaseRevoke != nil: // an expiry carries the count of renewals, one more than it is, in the entry's ID
+		err := f.kv.revoke(req.LeaseRevoke.ID, req.ID > 0, req.ID-1)
+		return applied{response: &pb.LeaseRevokeResponse{Header: f.header()}, err: err}
+	case req.LeaseCheckpoint != nil: // a renewal
+		out := &pb.LeaseKeepAliveResponse{}
+		for _, c := range req.LeaseCheckpoint.Checkpoints {
+			out.ID = c.ID
+			out.TTL, _ = f.kv.renew(c.ID, f.now()) // 0 says that it is gone, as in etcd
+		}
+		out.Header = f.header()
+		return applied{response: out}
 	case req.Compaction != nil:
 		err := f.kv.compact(req.Compaction.Revision)
 		return applied{response: &pb.CompactionResponse{Header: &pb.ResponseHeader{Revision: f.kv.revision()}}, err: err}
@@ -46,14 +69,17 @@
 	return applied{err: errors.New("an entry without a known request")}
 }
 
+func (f *fsm) header() *pb.ResponseHeader { return &pb.ResponseHeader{Revision: f.kv.revision()} }
+
 func (s *kv) revision() int64 {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	return s.rev
 }
 
-// txn applies one transaction: all that it changes has one revision, and one that changes nothing takes none.
-func (f *fsm) txn(req *pb.TxnRequest) *pb.TxnResponse {
+// txn applies one transaction: all that it changes has one revision, and one that changes nothing takes none. One
+// that names a lease that is gone changes nothing.
+func (f *fsm) txn(req *pb.TxnRequest) (*pb.TxnResponse, error) {
 	s := f.kv
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -62,6 +88,11 @@
 	if out.Succeeded {
 		ops = req.Success
 	}
+	for _, op := range ops {
+		if put := op.GetRequestPut(); put != nil && put.Lease != 0 && s.leases[put.Lease] == nil {
+			return nil, ErrLeaseNotFound
+		}
+	}
 	next, before := s.rev+1, len(s.history)
 	for _, op := range ops {
 		out.Responses = append(out.Responses, s.apply(op, next))
@@ -70,7 +101,7 @@
 		s.commit(next)
 	}
 	out.Header = &pb.ResponseHeader{Revision: s.rev}
-	return out
+	return out, nil
 }
 
 func (s *kv) apply(op *pb.RequestOp, rev int64) *pb.ResponseOp {
@@ -80,7 +111,7 @@
 		if old := s.at(string(p.Key), rev); old != nil && p.PrevKv {
 			out.PrevKv = s.pair(string(p.Key), old)
 		}
-		s.put(string(p.Key), p.Value, rev)
+		s.put(string(p.Key), p.Value, p.Lease, rev)
 		return &pb.ResponseOp{Response: &pb.ResponseOp_ResponsePut{ResponsePut: out}}
 	case op.GetRequestDeleteRange() != nil:
 		d, out := op.GetRequestDeleteRange(), &pb.DeleteRangeResponse{}
@@ -121,6 +152,8 @@
 		order = cmp.Compare(pair.ModRevision, c.GetModRevision())
 	case pb.Compare_VERSION:
 		order = cmp.Compare(pair.Version, c.GetVersion())
+	case pb.Compare_LEASE:
+		order = cmp.Compare(pair.Lease, c.GetLease())
 	}
 	switch c.Result {
 	case pb.Compare_EQUAL:
@@ -142,7 +175,7 @@
 // Restore serves raft.FSM.
 func (f *fsm) Restore(r io.ReadCloser) error {
 	defer r.Close()
-	return f.kv.load(r)
+	return f.kv.load(r, f.now())
 }
 
 type snapshot []byte
--- a/internal/store/mvcc.go
+++ b/internal/store/mvcc.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sort"
 	"sync"
+	"time"
 
 	"go.etcd.io/etcd/api/v3/mvccpb"
 )
@@ -29,7 +30,8 @@
 	versions  map[string][]version // ascending
 	keys      []string             // sorted
 	history   []change             // ascending, from compacted on
-	changed   chan struct{}        // closed at the next change
+	leases    map[int64]*lease
+	changed   chan struct{} // closed at the next change
 }
 
 // version is a key's value from a revision on; a deleted one has no value.
@@ -37,6 +39,7 @@
 	Rev, Created, Count int64
 	Value               []byte
 	Deleted             bool
+	Lease               int64 // 0: none
 }
 
 // change names what happened to a key at a revision.
@@ -45,7 +48,9 @@
 	Key string
 }
 
-func newKV() *kv { return &kv{rev: 1, versions: map[string][]version{}, changed: make(chan struct{})} }
+func newKV() *kv {
+	return &kv{rev: 1, versions: map[string][]version{}, leases: map[int64]*lease{}, changed: make(chan struct{})}
+}
 
 // at is the version of a key at a revision, or nil.
 func (s *kv) at(key string, rev int64) *version {
@@ -58,12 +63,12 @@
 }
 
 func (s *kv) pair(key string, v *version) *mvccpb.KeyValue {
-	return &mvccpb.KeyValue{Key: []byte(key), Value: v.Value, CreateRevision: v.Created, ModRevision: v.Rev, Version: v.Count}
+	return &mvccpb.KeyValue{Key: []byte(key), Value: v.Value, CreateRevision: v.Created, ModRevision: v.Rev, Version: v.Count, Lease: v.Lease}
 }
 
-// in tells whether a key lies in a range of etcd's form: no end is one key, an end of one zero byte is all from
+// In tells whether a key lies in a range of etcd's form: no end is one key, an end of one zero byte is all from
 // the key on.
-func in(name string, key, end []byte) bool {
+func In(name string, key, end []byte) bool {
 	switch {
 	case len(end) == 0:
 		return name == string(key)
@@ -77,7 +82,7 @@
 func (s *kv) within(key, end []byte, rev int64) []string {
 	var out []string
 	for _, name := range s.keys[sort.SearchStrings(s.keys, string(key)):] {
-		if !in(name, key, end) {
+		if !In(name, key, end) {
 			break
 		}
 		if s.at(name, rev) != nil {
@@ -108,8 +113,8 @@
 }
 
 // put sets a key at a revision that is not yet current; the lock is held.
-func (s *kv) put(key string, value []byte, rev int64) {
-	v := version{Rev: rev, Created: rev, Count: 1, Value: slices.Clone(value)}
+func (s *kv) put(key string, value []byte, lease, rev int64) {
+	v := version{Rev: rev, Created: rev, Count: 1, Value: slices.Clone(value), Lease: lease}
 	if old := s.at(key, rev); old != nil {
 		v.Created, v.Count = old.Created, old.Count+1
 	}
@@ -123,6 +128,7 @@
 		i, _ := slices.BinarySearch(s.keys, key)
 		s.keys = slices.Insert(s.keys, i, key)
 	}
+	s.attach(key, v.Lease)
 	s.versions[key] = append(s.versions[key], v)
 	s.history = append(s.history, change{v.Rev, key})
 }
@@ -187,7 +193,7 @@
 			out.Next = c.Rev
 			break
 		}
-		if !in(c.Key, key, end) {
+		if !In(c.Key, key, end) {
 			continue
 		}
 		ev := &mvccpb.Event{Type: mvccpb.PUT}
@@ -211,17 +217,18 @@
 	Rev, Compacted int64
 	Versions       map[string][]version
 	History        []change
+	Leases         map[int64]*lease // none in a snapshot of a version that had no leases
 }
 
 func (s *kv) save() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	var b bytes.Buffer
-	err := gob.NewEncoder(&b).Encode(image{s.rev, s.compacted, s.versions, s.history})
+	err := gob.NewEncoder(&b).Encode(image{s.rev, s.compacted, s.versions, s.history, s.leases})
 	return b.Bytes(), err
 }
 
-func (s *kv) load(r io.Reader) error {
+func (s *kv) load(r io.Reader, now time.Duration) error {
 	var im image
 	if err := gob.NewDecoder(r).Decode(&im); err != nil {
 		return err
@@ -237,6 +244,15 @@
 		s.keys = append(s.keys, key)
 	}
 	slices.Sort(s.keys)
+	s.leases = map[int64]*lease{}
+	for id, l := range im.Leases {
+		s.leases[id] = &lease{TTL: l.TTL, Renewed: l.Renewed, touched: now, keys: map[string]bool{}}
+	}
+	for key, list := range s.versions {
+		if last := list[len(list)-1]; s.leases[last.Lease] != nil && !last.Deleted {
+			s.leases[last.Lease].keys[key] = true
+		}
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return nil
--- a/internal/store/node.go
+++ b/internal/store/node.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
@@ -45,6 +46,8 @@
 	kv    *kv
 	peers []Peer
 	self  Peer
+	zero  time.Time
+	quit  chan struct{}
 	close []func() error
 }
 
@@ -58,7 +61,7 @@
 
 // Open starts a node. Nodes that have nothing on disk begin as a cluster of the named peers.
 func Open(o Options) (*Node, error) {
-	n := &Node{kv: newKV(), peers: o.Peers, self: o.Self}
+	n := &Node{kv: newKV(), peers: o.Peers, self: o.Self, zero: time.Now(), quit: make(chan struct{})}
 	cfg := raft.DefaultConfig()
 	cfg.LocalID, cfg.LogOutput, cfg.LogLevel, cfg.SnapshotThreshold = raft.ServerID(o.Self.ID), o.Log, "WARN", snapshotLogs
 	if o.Heartbeat > 0 {
@@ -87,7 +90,8 @@
 		if err != nil {
 			return nil, errors.Join(err, n.Close())
 		}
-		tcp, err := raft.NewTCPTransport(o.Self.Raft, addr, raftConns, raftTimeout, o.Log)
+		tcp, err := raft.NewTCPTransportWithConfig(o.Self.Raft, addr, &raft.NetworkTransportConfig{MaxPool: raftConns,
+			Timeout: raftTimeout, ServerAddressProvider: n, Logger: hclog.New(&hclog.LoggerOptions{Output: o.Log, Level: hclog.Warn})})
 		if err != nil {
 			return nil, errors.Join(err, n.Close())
 		}
@@ -98,7 +102,7 @@
 	if err != nil {
 		return nil, errors.Join(err, n.Close())
 	}
-	if n.raft, err = raft.NewRaft(cfg, &fsm{n.kv}, logs, stable, snaps, transport); err != nil {
+	if n.raft, err = raft.NewRaft(cfg, &fsm{n.kv, n.now}, logs, stable, snaps, transport); err != nil {
 		return nil, errors.Join(err, n.Close())
 	}
 	if !known {
@@ -110,12 +114,70 @@
 			return nil, errors.Join(err, n.Close())
 		}
 	}
+	go n.expire()
 	return n, nil
 }
 
+// ServerAddr serves raft.ServerAddressProvider: a peer is reached where this node's own file says, whatever the
+// log has.
+func (n *Node) ServerAddr(id raft.ServerID) (raft.ServerAddress, error) {
+	for _, p := range n.peers {
+		if p.ID == string(id) {
+			return raft.ServerAddress(p.Raft), nil
+		}
+	}
+	return "", fmt.Errorf("store: no peer %q", id)
+}
+
+// now is this node's monotonic clock.
+func (n *Node) now() time.Duration { return time.Since(n.zero) }
+
+// expiryEvery is how often a leader looks for leases whose time is up.
+const expiryEvery = 50 * time.Millisecond
+
+// expire has leases end whose time is up, while this node leads.
+func (n *Node) expire() {
+	tick := time.NewTicker(expiryEvery)
+	defer tick.Stop()
+	led := false
+	for {
+		select {
+		case <-n.quit:
+			return
+		case <-tick.C:
+		}
+		if !n.Leads() {
+			led = false
+			continue
+		}
+		if !led { // what earlier leaders agreed on is applied first
+			if n.raft.Barrier(applyLimit).Error() != nil {
+				continue
+			}
+			n.kv.extend(n.now())
+			led = true
+		}
+		for _, o := range n.kv.expired(n.now()) {
+			// An error is no matter: whoever leads looks again.
+			_, _ = n.Apply(&pb.InternalRaftRequest{ID: o.renewed + 1, LeaseRevoke: &pb.LeaseRevokeRequest{ID: o.id}})
+		}
+	}
+}
+
+// Lease tells what this node, which should lead, knows of a lease.
+func (n *Node) Lease(id int64) (LeaseStatus, bool) { return n.kv.lease(id, n.now()) }
+
+// Leases lists the leases of this node's copy.
+func (n *Node) Leases() []int64 { return n.kv.leaseIDs() }
+
 // Close stops the node.
 func (n *Node) Close() error {
 	var all error
+	select {
+	case <-n.quit:
+	default:
+		close(n.quit)
+	}
 	if n.raft != nil {
 		all = n.raft.Shutdown().Error()
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -22,7 +22,7 @@
 func TestModel(t *testing.T) {
 	standin.Steady(t)
 	rapid.Check(t, func(rt *rapid.T) {
-		f := &fsm{newKV()}
+		f := &fsm{newKV(), func() time.Duration { return 0 }}
 		states := map[int64]map[string]string{1: {}}
 		rev, compacted := int64(1), int64(0)
 		key := rapid.SampledFrom([]string{"a", "b", "b/1", "b/2", "c"})
@@ -36,7 +36,7 @@
 				states[rev] = next
 			},
 			"delete range": func(rt *rapid.T) {
-				r := f.txn(&pb.TxnRequest{Success: []*pb.RequestOp{{Request: &pb.RequestOp_RequestDeleteRange{
+				r, _ := f.txn(&pb.TxnRequest{Success: []*pb.RequestOp{{Request: &pb.RequestOp_RequestDeleteRange{
 					RequestDeleteRange: &pb.DeleteRangeRequest{Key: []byte("b"), RangeEnd: []byte("c")}}}}})
 				next := maps.Clone(states[rev])
 				maps.DeleteFunc(next, func(k, _ string) bool { return k >= "b" && k < "c" })
@@ -72,7 +72,7 @@
 				if err != nil {
 					rt.Fatal(err)
 				}
-				f = &fsm{newKV()}
+				f = &fsm{newKV(), func() time.Duration { return 0 }}
 				if err := f.Restore(io.NopCloser(bytes.NewReader(data))); err != nil {
 					rt.Fatal(err)
 				}
@@ -132,15 +132,15 @@
 
 // A transaction changes all or nothing, by comparisons on what is there.
 func TestTxn(t *testing.T) {
-	f := &fsm{newKV()}
+	f := &fsm{newKV(), func() time.Duration { return 0 }}
 	put := func(k, v string) *pb.RequestOp {
 		return &pb.RequestOp{Request: &pb.RequestOp_RequestPut{RequestPut: &pb.PutRequest{Key: []byte(k), Value: []byte(v)}}}
 	}
 	absent := []*pb.Compare{{Key: []byte("a"), Target: pb.Compare_CREATE, TargetUnion: &pb.Compare_CreateRevision{CreateRevision: 0}}}
-	if r := f.txn(&pb.TxnRequest{Compare: absent, Success: []*pb.RequestOp{put("a", "1"), put("b", "1")}}); !r.Succeeded || r.Header.Revision != 2 {
+	if r, _ := f.txn(&pb.TxnRequest{Compare: absent, Success: []*pb.RequestOp{put("a", "1"), put("b", "1")}}); !r.Succeeded || r.Header.Revision != 2 {
 		t.Fatalf("first: %v", r)
 	}
-	if r := f.txn(&pb.TxnRequest{Compare: absent, Success: []*pb.RequestOp{put("a", "2")}, Failure: []*pb.RequestOp{put("c", "1")}}); r.Succeeded || r.Header.Revision != 3 {
+	if r, _ := f.txn(&pb.TxnRequest{Compare: absent, Success: []*pb.RequestOp{put("a", "2")}, Failure: []*pb.RequestOp{put("c", "1")}}); r.Succeeded || r.Header.Revision != 3 {
 		t.Fatalf("second: %v", r)
 	}
 	if pairs, _, _ := f.kv.read([]byte{0}, []byte{0}, 0); len(pairs) != 3 || string(pairs[0].Value) != "1" {
