--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -38,8 +38,12 @@
 	Dir       string `toml:"dir"`        // "" keeps nothing over a restart
 	ConfigKey string `toml:"config_key"` // where the store held [chat] before there were policies; "" for nowhere
 	// HeartbeatMs is how long a node waits for its leader before it stands for election itself; 0: a second.
-	HeartbeatMs float64     `toml:"heartbeat_ms"`
-	Peers       []StorePeer `toml:"peer"`
+	HeartbeatMs float64 `toml:"heartbeat_ms"`
+	// SnapshotEntries is how many entries of the log have a snapshot taken, SnapshotMs how often that is looked at;
+	// 0 stands for a default each.
+	SnapshotEntries int         `toml:"snapshot_entries"`
+	SnapshotMs      float64     `toml:"snapshot_ms"`
+	Peers           []StorePeer `toml:"peer"`
 }
 
 // StorePeer is one node of the store.
@@ -52,6 +56,9 @@
 // minHeartbeatMs is the shortest time in which a busy machine still hears a leader.
 const minHeartbeatMs = 50
 
+// minSnapshotMs is the shortest time between two looks that raft allows.
+const minSnapshotMs = 5
+
 // Self is this daemon's node, once checked.
 func (s Store) Self() StorePeer {
 	for _, p := range s.Peers {
@@ -100,6 +107,12 @@
 	if s.HeartbeatMs != 0 && !(s.HeartbeatMs >= minHeartbeatMs) {
 		return fmt.Errorf("store.heartbeat_ms: %g, at least %d", s.HeartbeatMs, minHeartbeatMs)
 	}
+	if s.SnapshotEntries < 0 {
+		return fmt.Errorf("store.snapshot_entries: %d, must not be negative", s.SnapshotEntries)
+	}
+	if s.SnapshotMs != 0 && !(s.SnapshotMs >= minSnapshotMs) {
+		return fmt.Errorf("store.snapshot_ms: %g, at least %d", s.SnapshotMs, minSnapshotMs)
+	}
 	return nil
 }
 
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -162,7 +162,7 @@
 		p("[[chat.server]]\nid = %q\naddr = %q", serverName(i), f.back[[2]string{d.Name, serverName(i)}].Addr())
 	}
 	p("[members]\nprefix = \"/sumacloft/members/%s/\"", d.Name) // each reaches the servers by links of its own
-	p("[store]\nid = %q\ndir = %q\nheartbeat_ms = 200", d.Name, d.dir)
+	p("[store]\nid = %q\ndir = %q\nheartbeat_ms = 200\nsnapshot_entries = 60\nsnapshot_ms = 400", d.Name, d.dir)
 	for _, o := range f.Daemons {
 		raft, client := o.Raft, o.Client
 		if o != d {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -54,7 +54,8 @@
 	exits    map[string]told // by the proposal's note
 
 	refused, lost atomic.Int64
-	last          string // the note of the last proposal
+	last          string   // the note of the last proposal
+	fresh         []string // daemons that came back without what their routers kept
 	proposals     sync.WaitGroup
 }
 
@@ -228,6 +229,7 @@
 			if err := d.Forget(); err != nil {
 				return err
 			}
+			r.fresh = append(r.fresh, d.Name)
 		}
 		return f.Start(d)
 	case "split":
@@ -355,12 +357,34 @@
 		}
 	}
 	r.proposals.Wait()
+	if r.f.o.OnLapse == rollout.Keep {
+		if err := r.declare(); err != nil {
+			return err
+		}
+	}
 	if err := r.f.Ready(r.ctx, settles); err != nil {
 		r.fault("%v", err)
 	}
 	return nil
 }
 
+// declare does what the operators' page says of a router that serves on and came back without its directory: its old
+// self is declared gone.
+func (r *run) declare() error {
+	client, err := etcd.NewClient([]string{r.f.Daemons[0].Client, r.f.Daemons[1].Client})
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	for _, name := range r.fresh {
+		d := r.f.Daemon(name)
+		until(r.ctx, settles, func() bool {
+			return d.Healthy(r.ctx) || policy.Store{Client: client}.Remove(r.ctx, name) == nil
+		})
+	}
+	return nil
+}
+
 // judge compares what operators were told with what the store says became of each change, and has the checker judge
 // the history.
 func (r *run) judge() {
--- a/internal/store/node.go
+++ b/internal/store/node.go
@@ -38,6 +38,10 @@
 	Transport raft.Transport // nil: TCP at Self.Raft
 	// Heartbeat is how long a follower waits for its leader; 0 stands for raft's own default.
 	Heartbeat time.Duration
+	// SnapshotEntries is how many entries of the log have a snapshot taken, and about how many are kept beside it;
+	// SnapshotEvery is how often that is looked at. 0 stands for a default each.
+	SnapshotEntries int
+	SnapshotEvery   time.Duration
 }
 
 // Node is this daemon's part of the store.
@@ -68,6 +72,12 @@
 		cfg.HeartbeatTimeout, cfg.ElectionTimeout, cfg.LeaderLeaseTimeout = o.Heartbeat, o.Heartbeat, o.Heartbeat/2
 		cfg.CommitTimeout = o.Heartbeat / 10
 	}
+	if o.SnapshotEntries > 0 {
+		cfg.SnapshotThreshold, cfg.TrailingLogs = uint64(o.SnapshotEntries), uint64(o.SnapshotEntries)
+	}
+	if o.SnapshotEvery > 0 {
+		cfg.SnapshotInterval = o.SnapshotEvery
+	}
 	var logs raft.LogStore = raft.NewInmemStore()
 	stable, snaps := raft.StableStore(logs.(*raft.InmemStore)), raft.SnapshotStore(raft.NewInmemSnapshotStore())
 	if o.Dir != "" {
