--- a/cmd/sumalab/main.go
+++ b/cmd/sumalab/main.go
@@ -15,6 +15,7 @@
 	"sync"
 
 	"github.com/alecthomas/kong"
+	"github.com/jedib0t/go-pretty/v6/table"
 
 	"sumacloft/internal/lab"
 )
@@ -23,6 +24,8 @@
 	Draw   drawLine   `cmd:"" help:"Print the schedule of a seed."`
 	Run    runLine    `cmd:"" help:"Run many schedules, drawn from seeds that follow one another."`
 	Replay replayLine `cmd:"" help:"Run one schedule from its print."`
+
+	Measure measureLine `cmd:"" help:"Measure changes of policy under load, healthy and with a router or the leader gone."`
 }
 
 type drawLine struct {
@@ -205,6 +208,32 @@
 	return nil
 }
 
+type measureLine struct {
+	Changes int `help:"How many changes with each trouble." default:"30"`
+	LeaseS  int `help:"The routers' leases, in seconds." default:"3"`
+	common
+}
+
+// Run measures.
+func (l *measureLine) Run(ctx context.Context, out io.Writer) error {
+	dir, err := os.MkdirTemp("", "sumalab")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	list, err := lab.MeasurePolicy(ctx, lab.Options{Dir: dir, Bin: l.Bin, LeaseS: l.LeaseS}, l.Changes, func(text string) { fmt.Fprintln(os.Stderr, text) })
+	if err != nil {
+		return err
+	}
+	t := table.NewWriter()
+	t.SetStyle(table.StyleLight)
+	t.AppendHeader(table.Row{"trouble", "changes", "committed", "commit p50", "max ms", "quiet p50", "p99 ms", "in a change p50", "p99", "max ms", "requests", "refused"})
+	for _, m := range list {
+		t.AppendRow(table.Row{m.Trouble, m.Changes, m.Committed, m.CommitP50, m.CommitMax, m.QuietP50, m.QuietP99, m.ChangeP50, m.ChangeP99, m.ChangeMax, m.Requests, m.Refused})
+	}
+	return l.show(out, list, t.Render()+"\n")
+}
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -223,17 +223,18 @@
 func (c *Core) Settle(ctx context.Context) {
 	every := time.NewTicker(settled)
 	defer every.Stop()
-	for c.open() > 0 {
+	for c.Open() > 0 {
 		select {
 		case <-ctx.Done():
-			c.log.WithField("requests", c.open()).Warn("ending with work still out")
+			c.log.WithField("requests", c.Open()).Warn("ending with work still out")
 			return
 		case <-every.C:
 		}
 	}
 }
 
-func (c *Core) open() int {
+// Open is how many requests are not over yet.
+func (c *Core) Open() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.requests)
--- a/internal/lab/schedule.go
+++ b/internal/lab/schedule.go
@@ -20,7 +20,7 @@
 // Step is one step: After the last one, Do it. The words of Do are
 //
 //	propose            an operator proposes a change (a process of sumactl, which waits for its outcome)
-//	await PHASE        the change that runs, or ran last, comes to a phase; at most a while
+//	await PHASE        the last proposal comes to a phase, or is "over"; at most a while
 //	kill X             SIGKILL to a daemon, to the "leader" of the store, or to the "proposer", the last sumactl
 //	stop X, cont X     SIGSTOP and SIGCONT
 //	term X             SIGTERM
