--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
-.PHONY: build test lint run check help
+.PHONY: build test lint run demo lab measure check help
 
 help: ## this list
 	@sed -n 's/^\([a-z]*\):.*## /\1\t/p' Makefile
 
-build: ## the router and the adapter, into bin/
+build: ## the router, its tools and the adapter, into bin/
 	mkdir -p bin && go build -o bin/ ./cmd/...
 
 test: ## all tests, with the race detector
@@ -16,5 +16,18 @@
 run: build ## the chat front of examples/, see examples/README.md
 	bin/sumacloft -config examples/operator.toml
 
+demo: build ## three routers that share a policy, see examples/fleet/README.md
+	go build -o bin/ ./examples/toyserver
+	examples/fleet/demo
+
+COUNT ?= 300
+SEED ?= 1
+PARALLEL ?= 4
+lab: build ## COUNT seeded schedules of faults over five processes each, from SEED on
+	bin/sumalab run --seed $(SEED) --count $(COUNT) --parallel $(PARALLEL)
+
+measure: build ## changes of policy under load, healthy and with a router or the store's leader gone
+	bin/sumalab measure
+
 check: ## what CI runs
 	bash .ci/run
--- a/cmd/sumactl/main.go
+++ b/cmd/sumactl/main.go
@@ -121,6 +121,7 @@
 			var client *etcd.Client
 			if client, err = etcd.NewClient(l.Endpoint); err == nil {
 				defer client.Close()
+				client.Patient = true
 				err = k.Run(&ctl{ctx, policy.Store{Client: client}, l.Prefix, l.Output == "json", in, out, notes})
 			}
 		}
--- a/cmd/sumactl/policy.go
+++ b/cmd/sumactl/policy.go
@@ -113,23 +113,43 @@
 			w.By = u.Username + "@" + host
 		}
 	}
-	call, done := c.call()
+	ctx, stop := context.WithTimeout(c.ctx, w.Wait)
+	defer stop()
+	for {
+		id, err := c.propose(text, base, w)
+		if err != nil && !errors.Is(err, etcd.ErrUnknown) {
+			return err
+		}
+		change, err := c.await(ctx, id)
+		if errors.Is(err, policy.ErrNoChange) && ctx.Err() == nil { // its answer was lost, and so was the proposal
+			continue
+		}
+		return c.outcome(id, change, err)
+	}
+}
+
+// propose proposes a change; after etcd.ErrUnknown it may have been proposed or not.
+func (c *ctl) propose(text string, base int64, w waiting) (id string, err error) {
+	ctx, done := c.call()
 	defer done()
-	v, err := c.store.View(call)
+	v, err := c.store.View(ctx)
 	if err != nil {
-		return fmt.Errorf("the store does not answer (%w); nothing was proposed: look with 'sumactl policy status' at another --endpoint", err)
+		return "", fmt.Errorf("the store does not answer (%w); nothing was proposed: name other nodes of it with --endpoint", err)
 	}
 	if base > 0 && (v.Current == nil || v.Current.Version != base) {
-		return fmt.Errorf("the current version is not %d any more: look with 'sumactl policy show'; nothing was proposed", base)
+		return "", fmt.Errorf("the current version is not %d any more: look with 'sumactl policy show'; nothing was proposed", base)
 	}
-	id, err := c.store.Propose(call, v, text, w.By, w.Note, rollout.Limits{StepBackMs: w.StepBack.Milliseconds(), WaitMs: w.Limit.Milliseconds()})
+	id, err = c.store.Propose(ctx, v, text, w.By, w.Note, rollout.Limits{StepBackMs: w.StepBack.Milliseconds(), WaitMs: w.Limit.Milliseconds()})
 	if err != nil && !errors.Is(err, etcd.ErrUnknown) {
-		return fmt.Errorf("%w; nothing was proposed", err)
+		err = fmt.Errorf("%w; nothing was proposed", err)
 	}
-	ctx, stop := context.WithTimeout(c.ctx, w.Wait)
-	defer stop()
+	return id, err
+}
+
+// await waits for the outcome of a change, and shows how far it is.
+func (c *ctl) await(ctx context.Context, id string) (rollout.Change, error) {
 	said := ""
-	change, err := c.store.Await(ctx, id, func(v rollout.View, now rollout.Change) {
+	return c.store.Await(ctx, id, func(v rollout.View, now rollout.Change) {
 		step := rollout.Checked
 		if now.Phase == rollout.Preparing {
 			step = rollout.Prepared
@@ -143,7 +163,6 @@
 			_, _ = fmt.Fprintln(c.notes, say)
 		}
 	})
-	return c.outcome(id, change, err)
 }
 
 type outcomeLine struct {
--- a/internal/etcd/client.go
+++ b/internal/etcd/client.go
@@ -21,6 +21,9 @@
 type Client struct {
 	endpoints []string
 	conns     []*grpc.ClientConn
+	// Patient has a call go round the endpoints until its context ends, not once: while a leader is being elected
+	// none of them answers. It is set before the first call.
+	Patient bool
 
 	mu   sync.Mutex
 	good int // the endpoint that answered last
@@ -73,7 +76,14 @@
 	first := c.good
 	c.mu.Unlock()
 	var last error
-	for i := range c.conns {
+	for i := 0; i < len(c.conns) || c.Patient; i++ {
+		if i > 0 && i%len(c.conns) == 0 {
+			select {
+			case <-ctx.Done():
+				return last
+			case <-time.After(retryPause):
+			}
+		}
 		at := (first + i) % len(c.conns)
 		try, done := context.WithTimeout(ctx, clientTry)
 		err := call(try, c.conns[at])
