Core: a pause of the process is not its workers' slowness; a stopped router refused for ever

Ruled out: the policy (the answers bore the version in force), the list of workers, broken connections.

Cause: answers that lay in the sockets during the stop were told to the module with Took of 10 s (core/request.go: begin, ended); learnPace takes that into the pool's mean, which fades only by samples, so the projected wait exceeded the admission limit for every later request and nothing was sent that could disprove it.

Change: the core notes gaps of over 1 s between events (the module's own timer comes several times as often) and takes them off Took.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -80,6 +80,8 @@
 	lastID   brain.RequestID
 	timers   timerHeap
 	sooner   chan struct{} // the first timer has changed
+	heard    time.Duration // when the module was last told anything
+	paused   time.Duration // for how long in all this process was not running
 }
 
 // New makes a core. The seed settles the module's draws.
@@ -142,12 +144,34 @@
 			c.log.WithField("event", ev).Errorf("the module panicked: %v\n%s", p, debug.Stack())
 		}
 	}()
-	c.actions = c.sched.Handle(c.now(), ev, c.actions[:0])
+	now := c.now()
+	c.ran(now)
+	c.actions = c.sched.Handle(now, ev, c.actions[:0])
 	for _, action := range c.actions {
 		c.dispatch(action)
 	}
 }
 
+// pauseLeast is the time without an event from which the process counts as not having run: the module's own timer
+// comes several times as often.
+const pauseLeast = time.Second
+
+// ran notes at an event whether the process was paused before it. The lock is held.
+func (c *Core) ran(now time.Duration) {
+	if gap := now - c.heard; c.heard > 0 && gap > pauseLeast {
+		c.paused += gap
+		c.log.WithField("for", gap).Warn("the process was paused")
+	}
+	c.heard = now
+}
+
+// took is how long a worker took for what was sent: a pause of ours is not its time. Were it taken for that, the
+// module would turn all away for what the worker is thought to take, and send nothing that could disprove it.
+func (c *Core) took(sent time.Time, pausedThen time.Duration) time.Duration {
+	c.ran(c.now())
+	return max(time.Since(sent)-(c.paused-pausedThen), 0)
+}
+
 func (c *Core) dispatch(action brain.Action) {
 	switch a := action.(type) {
 	case brain.Send:
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -330,3 +330,48 @@
 		}
 	}
 }
+
+// A process that was paused does not take its own pause for its workers' slowness: the answers that came meanwhile were
+// there at once, and whoever comes after is served. Without that all were turned away, for ever.
+func TestPauseIsNotTheWorkers(t *testing.T) {
+	class := brain.Class{Aim: 500 * time.Millisecond, Deadline: 20 * time.Second, Worth: 1}
+	set := brain.Settings{Classes: []brain.Class{class}, Cancelling: true, Step: time.Millisecond, MaxAttempts: 3,
+		Kinds: []brain.Kind{{Role: brain.Mixed, MemoryTokens: 1e5}}}
+	c := New(set, 1, &fake{}, standin.Log())
+	c.Listed(brain.ListWhole, []Worker{{Name: "m1", Engine: brain.Engine{ID: 1}}})
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go c.Run(ctx)
+	serve := func(wait <-chan struct{}) *fake {
+		return &fake{left: 20 * time.Second, try: func(context.Context, Worker, func() error) (Reply, error) {
+			<-wait
+			return Reply{Stream: &lines{pieces: []string{"x"}, err: io.EOF}}, nil
+		}}
+	}
+	answered := make(chan struct{})
+	var all sync.WaitGroup
+	for range 12 {
+		f := serve(answered)
+		all.Add(1)
+		go func() { defer all.Done(); c.Do(t.Context(), f, f) }()
+	}
+	standin.Eventually(t, 5*time.Second, "all are sent", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		sent := 0
+		for _, r := range c.requests {
+			sent += len(r.attempts)
+		}
+		return sent == 12
+	})
+	c.mu.Lock() // nothing of the core runs
+	close(answered)
+	time.Sleep(4 * time.Second)
+	c.mu.Unlock()
+	all.Wait()
+	f := serve(answered)
+	c.Do(t.Context(), f, f)
+	if got := f.seen(&f.answers); got != "x finished" {
+		t.Errorf("after the pause: %q", got)
+	}
+}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -29,6 +29,7 @@
 	number  int
 	worker  Worker
 	sent    time.Time
+	paused  time.Duration // of the core, when it was sent
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	off     bool // called off, or never to be started
@@ -152,7 +153,7 @@
 // send opens the next attempt. One that can no longer be made is reported as never sent, since each Send has
 // exactly one end; not from here, for the module is at work.
 func (r *request) send(c *Core, s brain.Send) {
-	a := &attempt{number: len(r.attempts), sent: time.Now()}
+	a := &attempt{number: len(r.attempts), sent: time.Now(), paused: c.paused}
 	a.worker.ID = s.Engine
 	limit := r.deadline
 	if s.Timeout > 0 && a.sent.Add(s.Timeout).Before(limit) {
@@ -231,7 +232,7 @@
 	}
 	a.started, r.decided = true, true
 	r.post(&begun{a, s})
-	c.handle(brain.Started{Request: r.id, Attempt: a.number, Engine: a.worker.ID, Took: time.Since(a.sent)})
+	c.handle(brain.Started{Request: r.id, Attempt: a.number, Engine: a.worker.ID, Took: c.took(a.sent, a.paused)})
 	return true
 }
 
@@ -272,7 +273,7 @@
 	a.cancel(nil)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e.Request, e.Attempt, e.Engine, e.Took = r.id, a.number, a.worker.ID, time.Since(a.sent)
+	e.Request, e.Attempt, e.Engine, e.Took = r.id, a.number, a.worker.ID, c.took(a.sent, a.paused)
 	r.out--
 	c.handle(e)
 	c.forget(r)
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -417,8 +417,9 @@
 	// Requests after the end: each daemon must serve under the version that stands.
 	asking := &http.Client{Timeout: asks, Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, d := range r.f.Daemons {
-		if !until(r.ctx, settles, func() bool { return r.serves(asking, d, v.Current.Version) }) {
-			r.fault("%s does not serve under version %d after all is mended", d.Name, v.Current.Version)
+		said := ""
+		if !until(r.ctx, settles, func() bool { said = r.serves(asking, d, v.Current.Version); return said == "" }) {
+			r.fault("%s does not serve under version %d after all is mended: %s", d.Name, v.Current.Version, said)
 		}
 	}
 	r.rep.Version = v.Current.Version
@@ -466,13 +467,18 @@
 	}
 }
 
-func (r *run) serves(client *http.Client, d *Daemon, version int64) bool {
+// serves asks a daemon, and gives what was wrong with its answer, or nothing.
+func (r *run) serves(client *http.Client, d *Daemon, version int64) string {
 	resp, err := client.Post("http://"+d.Listen+"/v1/chat/completions", "application/json", strings.NewReader(`{"model":"query","messages":[{"role":"user","content":"x"}]}`))
 	if err != nil {
-		return false
+		return err.Error()
 	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK && resp.Header.Get("X-Sumacloft-Policy") == strconv.FormatInt(version, 10)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if at := resp.Header.Get("X-Sumacloft-Policy"); resp.StatusCode != http.StatusOK || at != strconv.FormatInt(version, 10) {
+		return fmt.Sprintf("%d under %q: %s %v", resp.StatusCode, at, text, err)
+	}
+	return ""
 }
 
 // Build builds the programs that a laboratory needs into a folder, as the repository at root has them; tags may name a
