Store: transactions within transactions, as etcd has them; history let go by count

Need: group commit of many records, each by its own compare, and bounded memory for records that come and go. A compaction now looks only at the keys that changed before it.

--- a/cmd/sumacloft/store.go
+++ b/cmd/sumacloft/store.go
@@ -33,7 +33,8 @@
 	}
 	node, err := store.Open(store.Options{Self: store.Peer(cfg.Store.Self()), Peers: peers, Dir: cfg.Store.Dir,
 		Heartbeat:       config.Millis(cfg.Store.HeartbeatMs),
-		SnapshotEntries: cfg.Store.SnapshotEntries, SnapshotEvery: config.Millis(cfg.Store.SnapshotMs), Log: log.WriterLevel(logrus.WarnLevel)})
+		SnapshotEntries: cfg.Store.SnapshotEntries, SnapshotEvery: config.Millis(cfg.Store.SnapshotMs),
+		KeepRevisions: cfg.Store.KeepRevisions, Log: log.WriterLevel(logrus.WarnLevel)})
 	if err != nil {
 		return nil, errors.Join(err, listener.Close())
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -41,9 +41,11 @@
 	HeartbeatMs float64 `toml:"heartbeat_ms"`
 	// SnapshotEntries is how many entries of the log have a snapshot taken, SnapshotMs how often that is looked at;
 	// 0 stands for a default each.
-	SnapshotEntries int         `toml:"snapshot_entries"`
-	SnapshotMs      float64     `toml:"snapshot_ms"`
-	Peers           []StorePeer `toml:"peer"`
+	SnapshotEntries int     `toml:"snapshot_entries"`
+	SnapshotMs      float64 `toml:"snapshot_ms"`
+	// KeepRevisions is how many revisions of history are kept for watches that fell behind; 0: all.
+	KeepRevisions int64       `toml:"keep_revisions"`
+	Peers         []StorePeer `toml:"peer"`
 }
 
 // StorePeer is one node of the store.
@@ -110,6 +112,9 @@
 	if s.SnapshotEntries < 0 {
 		return fmt.Errorf("store.snapshot_entries: %d, must not be negative", s.SnapshotEntries)
 	}
+	if s.KeepRevisions < 0 {
+		return fmt.Errorf("store.keep_revisions: %d, must not be negative", s.KeepRevisions)
+	}
 	if s.SnapshotMs != 0 && !(s.SnapshotMs >= minSnapshotMs) {
 		return fmt.Errorf("store.snapshot_ms: %g, at least %d", s.SnapshotMs, minSnapshotMs)
 	}
@@ -217,7 +222,7 @@
 
 // ReadOperator reads an operator's file.
 func ReadOperator(path string) (Operator, error) {
-	o := Operator{Name: "sumacloft", Store: Store{ConfigKey: "/sumacloft/config/chat"},
+	o := Operator{Name: "sumacloft", Store: Store{ConfigKey: "/sumacloft/config/chat", KeepRevisions: 20000},
 		Members: Members{Prefix: "/sumacloft/members/"}, Chat: defaultChat(),
 		Policy: Policy{OnLapse: LapseRefuse, LeaseS: 3, HoldMs: 500, HoldMost: 1024}}
 	meta, err := toml.DecodeFile(path, &o)
--- a/internal/etcd/etcd_test.go
+++ b/internal/etcd/etcd_test.go
@@ -433,3 +433,40 @@
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
+
+// Transactions within one another: each branch by its own comparisons, all of them looked at before anything changes,
+// all in one revision; a key that two would change is refused.
+func TestNestedTransactions(t *testing.T) {
+	n := start(t, 1)[0]
+	kv, _ := dial(t, n)
+	put(t, kv, "there", "1")
+	set := func(key string) *pb.RequestOp {
+		return &pb.RequestOp{Request: &pb.RequestOp_RequestPut{RequestPut: &pb.PutRequest{Key: []byte(key), Value: []byte("new")}}}
+	}
+	get := func(key string) *pb.RequestOp {
+		return &pb.RequestOp{Request: &pb.RequestOp_RequestRange{RequestRange: &pb.RangeRequest{Key: []byte(key)}}}
+	}
+	absent := func(key string, then, or *pb.RequestOp) *pb.RequestOp {
+		return &pb.RequestOp{Request: &pb.RequestOp_RequestTxn{RequestTxn: &pb.TxnRequest{Success: []*pb.RequestOp{then}, Failure: []*pb.RequestOp{or},
+			Compare: []*pb.Compare{{Key: []byte(key), Target: pb.Compare_MOD, TargetUnion: &pb.Compare_ModRevision{}}}}}}
+	}
+	r, err := kv.Txn(t.Context(), &pb.TxnRequest{Success: []*pb.RequestOp{absent("there", set("there"), get("there")), absent("a", set("a"), get("a")), absent("a", set("b"), get("a"))}})
+	if err != nil || !r.Succeeded || len(r.Responses) != 3 {
+		t.Fatalf("%v, %v", r, err)
+	}
+	for i, held := range []bool{false, true, true} {
+		if got := r.Responses[i].GetResponseTxn(); got.Succeeded != held {
+			t.Errorf("%d: %v", i, got)
+		}
+	}
+	if kvs := r.Responses[0].GetResponseTxn().Responses[0].GetResponseRange().Kvs; len(kvs) != 1 || string(kvs[0].Value) != "1" {
+		t.Errorf("%v", kvs)
+	}
+	all, err := kv.Range(t.Context(), &pb.RangeRequest{Key: []byte("a"), RangeEnd: []byte("c")})
+	if err != nil || len(all.Kvs) != 2 || all.Kvs[0].ModRevision != all.Kvs[1].ModRevision {
+		t.Errorf("%v, %v", all, err)
+	}
+	if _, err := kv.Txn(t.Context(), &pb.TxnRequest{Success: []*pb.RequestOp{set("a"), absent("x", get("x"), set("a"))}}); err == nil {
+		t.Error("a key was changed twice")
+	}
+}
--- a/internal/etcd/server.go
+++ b/internal/etcd/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"hash/fnv"
 	"io"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -154,7 +155,7 @@
 	})
 }
 
-// Txn serves pb.KVServer. Transactions do not nest, and a key changes once in each.
+// Txn serves pb.KVServer. A key changes once in each transaction, those within it included.
 func (s *Server) Txn(ctx context.Context, r *pb.TxnRequest) (*pb.TxnResponse, error) {
 	for _, ops := range [...][]*pb.RequestOp{r.Success, r.Failure} {
 		if err := s.checkOps(ops); err != nil {
@@ -167,16 +168,33 @@
 }
 
 func (s *Server) checkOps(ops []*pb.RequestOp) error {
-	puts := map[string]bool{}
+	return s.checkChanges(ops, map[string]bool{}, maxNesting)
+}
+
+// maxNesting is how deep transactions may nest.
+const maxNesting = 4
+
+// checkChanges checks the operations that may all be carried out together; puts has the keys put so far.
+func (s *Server) checkChanges(ops []*pb.RequestOp, puts map[string]bool, depth int) error {
 	for _, op := range ops {
-		switch {
-		case op.GetRequestTxn() != nil:
-			return rpctypes.ErrGRPCNotCapable
-		case op.GetRequestPut() != nil:
-			if err := s.checkPut(op.GetRequestPut()); err != nil {
+		if t := op.GetRequestTxn(); t != nil {
+			if depth == 0 {
+				return rpctypes.ErrGRPCNotCapable
+			}
+			other := maps.Clone(puts) // one of the two branches is carried out
+			if err := s.checkChanges(t.Success, puts, depth-1); err != nil {
+				return err
+			}
+			if err := s.checkChanges(t.Failure, other, depth-1); err != nil {
+				return err
+			}
+			maps.Copy(puts, other)
+		}
+		if put := op.GetRequestPut(); put != nil {
+			if err := s.checkPut(put); err != nil {
 				return err
 			}
-			key := string(op.GetRequestPut().Key)
+			key := string(put.Key)
 			if puts[key] {
 				return rpctypes.ErrGRPCDuplicateKey
 			}
--- a/internal/store/apply.go
+++ b/internal/store/apply.go
@@ -77,26 +77,25 @@
 	return s.rev
 }
 
+// oldest is the first revision of which there is history.
+func (s *kv) oldest() int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.compacted
+}
+
 // txn applies one transaction: all that it changes has one revision, and one that changes nothing takes none. One
 // that names a lease that is gone changes nothing.
 func (f *fsm) txn(req *pb.TxnRequest) (*pb.TxnResponse, error) {
 	s := f.kv
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := &pb.TxnResponse{Succeeded: !slices.ContainsFunc(req.Compare, func(c *pb.Compare) bool { return !s.holds(c) })}
-	ops := req.Failure
-	if out.Succeeded {
-		ops = req.Success
-	}
-	for _, op := range ops {
-		if put := op.GetRequestPut(); put != nil && put.Lease != 0 && s.leases[put.Lease] == nil {
-			return nil, ErrLeaseNotFound
-		}
+	chosen := s.choose(req)
+	if !s.leased(chosen) {
+		return nil, ErrLeaseNotFound
 	}
 	next, before := s.rev+1, len(s.history)
-	for _, op := range ops {
-		out.Responses = append(out.Responses, s.apply(op, next))
-	}
+	out := s.carry(chosen, next)
 	if len(s.history) > before {
 		s.commit(next)
 	}
@@ -104,6 +103,53 @@
 	return out, nil
 }
 
+// choice is the branch of a transaction that its comparisons have chosen, and those of the transactions within.
+type choice struct {
+	held  bool
+	ops   []*pb.RequestOp
+	inner []choice // by op; empty for what is no transaction
+}
+
+// choose looks at all comparisons, those within as well, before anything changes, as etcd does.
+func (s *kv) choose(req *pb.TxnRequest) choice {
+	c := choice{held: !slices.ContainsFunc(req.Compare, func(c *pb.Compare) bool { return !s.holds(c) }), ops: req.Failure}
+	if c.held {
+		c.ops = req.Success
+	}
+	c.inner = make([]choice, len(c.ops))
+	for i, op := range c.ops {
+		if t := op.GetRequestTxn(); t != nil {
+			c.inner[i] = s.choose(t)
+		}
+	}
+	return c
+}
+
+// leased tells whether every lease that is named exists.
+func (s *kv) leased(c choice) bool {
+	for i, op := range c.ops {
+		if put := op.GetRequestPut(); put != nil && put.Lease != 0 && s.leases[put.Lease] == nil {
+			return false
+		}
+		if !s.leased(c.inner[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *kv) carry(c choice, rev int64) *pb.TxnResponse {
+	out := &pb.TxnResponse{Succeeded: c.held}
+	for i, op := range c.ops {
+		if op.GetRequestTxn() != nil {
+			out.Responses = append(out.Responses, &pb.ResponseOp{Response: &pb.ResponseOp_ResponseTxn{ResponseTxn: s.carry(c.inner[i], rev)}})
+			continue
+		}
+		out.Responses = append(out.Responses, s.apply(op, rev))
+	}
+	return out
+}
+
 func (s *kv) apply(op *pb.RequestOp, rev int64) *pb.ResponseOp {
 	switch {
 	case op.GetRequestPut() != nil:
--- a/internal/store/mvcc.go
+++ b/internal/store/mvcc.go
@@ -151,20 +151,29 @@
 		return ErrFuture
 	}
 	s.compacted = rev
-	s.history = slices.Clone(s.history[sort.Search(len(s.history), func(i int) bool { return s.history[i].Rev >= rev }):])
-	for key, list := range s.versions {
+	old := sort.Search(len(s.history), func(i int) bool { return s.history[i].Rev >= rev })
+	changed := map[string]bool{} // what changed before has older versions, or is gone
+	for _, c := range s.history[:old] {
+		changed[c.Key] = true
+	}
+	s.history = slices.Clone(s.history[old:])
+	gone := false
+	for key := range changed {
+		list := s.versions[key]
 		first := max(sort.Search(len(list), func(i int) bool { return list[i].Rev > rev })-1, 0)
 		if list[first].Deleted && list[first].Rev < rev {
 			first++
 		}
 		if first == len(list) {
 			delete(s.versions, key)
-			i, _ := slices.BinarySearch(s.keys, key)
-			s.keys = slices.Delete(s.keys, i, i+1)
+			gone = true
 			continue
 		}
 		s.versions[key] = slices.Clone(list[first:])
 	}
+	if gone {
+		s.keys = slices.DeleteFunc(s.keys, func(key string) bool { return s.versions[key] == nil })
+	}
 	close(s.changed) // a watch that has fallen behind must learn of it
 	s.changed = make(chan struct{})
 	return nil
--- a/internal/store/node.go
+++ b/internal/store/node.go
@@ -42,6 +42,8 @@
 	// SnapshotEvery is how often that is looked at. 0 stands for a default each.
 	SnapshotEntries int
 	SnapshotEvery   time.Duration
+	// KeepRevisions is how many revisions of history the leader keeps; 0: all.
+	KeepRevisions int64
 }
 
 // Node is this daemon's part of the store.
@@ -52,6 +54,7 @@
 	self  Peer
 	zero  time.Time
 	quit  chan struct{}
+	keeps int64 // revisions of history; 0: all
 	close []func() error
 }
 
@@ -65,7 +68,7 @@
 
 // Open starts a node. Nodes that have nothing on disk begin as a cluster of the named peers.
 func Open(o Options) (*Node, error) {
-	n := &Node{kv: newKV(), peers: o.Peers, self: o.Self, zero: time.Now(), quit: make(chan struct{})}
+	n := &Node{kv: newKV(), peers: o.Peers, self: o.Self, zero: time.Now(), quit: make(chan struct{}), keeps: o.KeepRevisions}
 	cfg := raft.DefaultConfig()
 	cfg.LocalID, cfg.LogOutput, cfg.LogLevel, cfg.SnapshotThreshold = raft.ServerID(o.Self.ID), o.Log, "WARN", snapshotLogs
 	if o.Heartbeat > 0 {
@@ -171,6 +174,10 @@
 			// An error is no matter: whoever leads looks again.
 			_, _ = n.Apply(&pb.InternalRaftRequest{ID: o.renewed + 1, LeaseRevoke: &pb.LeaseRevokeRequest{ID: o.id}})
 		}
+		// History is let go by an eighth at a time, so that compactions are few.
+		if rev, since := n.kv.revision(), n.kv.oldest(); n.keeps > 0 && rev-since > n.keeps+n.keeps/8 {
+			_, _ = n.Apply(&pb.InternalRaftRequest{Compaction: &pb.CompactionRequest{Revision: rev - n.keeps}})
+		}
 	}
 }
 
