--- a/brain/api.go
+++ b/brain/api.go
@@ -170,6 +170,7 @@
 	MaxTokens    float64
 	HintTokens   float64       // rough length of the answer; 0: not known
 	Left         time.Duration // until the client gives up on this try
+	Tried        int           // attempts that were made for it elsewhere; they count with ours
 	Resumed      bool          // the client asks for the rest of an answer that broke: its start was in time long ago
 }
 
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -333,7 +333,7 @@
 		s.giveUp(r, share(wait, time.Second))
 		return
 	}
-	if best.role == Reader && s.set.MaxAttempts > 0 && r.sends+2 > s.set.MaxAttempts {
+	if best.role == Reader && s.set.MaxAttempts > 0 && r.Tried+r.sends+2 > s.set.MaxAttempts {
 		s.giveUp(r, s.set.MaxHoldOff) // no attempt would be left to have the answer written
 		return
 	}
@@ -728,7 +728,7 @@
 
 // mayRepeat tells whether the class allows another attempt after those that may have run.
 func (s *Scheduler) mayRepeat(r *request) bool {
-	if s.set.MaxAttempts > 0 && r.sends >= s.set.MaxAttempts {
+	if s.set.MaxAttempts > 0 && r.Tried+r.sends >= s.set.MaxAttempts {
 		return false
 	}
 	if r.ranAt == nil || r.class.Effect == Safe {
--- a/cmd/sumacloft/main.go
+++ b/cmd/sumacloft/main.go
@@ -124,6 +124,8 @@
 	moved   chan source            // a source that takes the place of the last one
 	reload  func() (source, error) // reads the configuration again; no source: the list's place is the same
 	close   func() error
+	// handOver gives what waits to other routers, once no new requests are taken; nil: there is no other way than to end it.
+	handOver func()
 }
 
 func (r *router) limit(l config.Limits) {
@@ -271,17 +273,23 @@
 	r.source = operators(cfg, log)
 	r.front = chat.New(r.core, servers, cfg.Chat)
 	if cfg.Policy.On() {
-		gate, leave, err := joinFleet(cfg, r.core, log)
+		fleet, err := joinFleet(cfg, r.core, log)
 		if err != nil {
 			if r.close != nil {
 				err = errors.Join(err, r.close())
 			}
 			return nil, err
 		}
-		r.front = chat.NewGated(r.core, servers, gate, cfg.Policy.Header)
+		front := chat.NewGated(r.core, servers, fleet.gate, cfg.Policy.Header)
+		fleet.handover.Bind(front)
+		r.front = front
+		fleet.start()
+		if cfg.Work.HandOverDrain {
+			r.handOver = fleet.handover.HandOver
+		}
 		shut := r.close
 		r.close = func() error { // the registration is taken back while the store still runs
-			err := leave()
+			err := fleet.leave()
 			if shut != nil {
 				err = errors.Join(err, shut())
 			}
@@ -389,6 +397,9 @@
 		defer cut.Stop()
 	}
 	time.Sleep(lingers)
+	if r.handOver != nil {
+		r.handOver()
+	}
 	if err := server.Shutdown(context.Background()); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
--- a/cmd/sumacloft/policy.go
+++ b/cmd/sumacloft/policy.go
@@ -3,27 +3,48 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"time"
 
+	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
 	"sumacloft/internal/chat"
 	"sumacloft/internal/config"
 	"sumacloft/internal/core"
 	"sumacloft/internal/etcd"
+	"sumacloft/internal/ledger"
 	"sumacloft/internal/policy"
 	"sumacloft/internal/rollout"
+	"sumacloft/internal/work"
 )
 
-// joinFleet registers this router in its fleet and has it follow the fleet's policy. The gate is shut until then, and
-// again once leave has been called.
-func joinFleet(cfg config.Operator, c *core.Core, log *logrus.Logger) (gate *policy.Gate[*chat.Terms], leave func() error, err error) {
+// fleet is this router's part in its fleet: the policy that it follows and the work in hand that it writes down.
+type fleet struct {
+	gate     *policy.Gate[*chat.Terms]
+	handover *chat.Handover
+	start    func()
+	// leave takes the registration back. The gate is shut from then on.
+	leave func() error
+}
+
+// joinFleet makes this router a member of its fleet; once started it registers and follows the fleet's policy. The gate
+// is shut until then.
+func joinFleet(cfg config.Operator, c *core.Core, log *logrus.Logger) (*fleet, error) {
 	kv, err := etcd.NewClient(cfg.Policy.Endpoints)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
+	}
+	f, me := &fleet{handover: &chat.Handover{Serve: cfg.Work.OnAway == config.AwayServe, Log: log}}, ledger.Owner{Name: cfg.Policy.Name, Boot: uuid.NewString()}
+	closeSpans := func() error { return nil }
+	if cfg.Work.TraceFile != "" {
+		if f.handover.Spans, closeSpans, err = work.NewSpans(cfg.Work.TraceFile, me.Name); err != nil {
+			return nil, errors.Join(err, kv.Close())
+		}
 	}
 	classes := &config.ChatCatalog{}
 	agent, err := policy.Open(policy.Options[*chat.Terms]{
-		Name: cfg.Policy.Name, Listen: cfg.Listen, Endpoints: cfg.Policy.Endpoints, Dir: cfg.Store.Dir, OnLapse: cfg.Policy.OnLapse,
+		Name: me.Name, Boot: me.Boot, Listen: cfg.Listen, Endpoints: cfg.Policy.Endpoints, Dir: cfg.Store.Dir, OnLapse: cfg.Policy.OnLapse,
 		Lease: cfg.Policy.Lease(), Margin: cfg.Policy.Margin(), Patience: cfg.Policy.Hold(), Most: cfg.Policy.HoldMost,
 		First: func(ctx context.Context) (string, error) { return earlier(ctx, kv, cfg) },
 		Check: func(text string) error {
@@ -39,22 +60,58 @@
 			c.Retune(brain)
 			return chat.NewTerms(set, places, v.Version), nil
 		},
-		Log: log, Broken: policy.Injected()})
+		Seen: func(v rollout.View) { f.handover.Book.Seen(living(v), v.Revision) },
+		Log:  log, Broken: policy.Injected()})
+	if err != nil {
+		return nil, errors.Join(err, kv.Close(), closeSpans())
+	}
+	f.gate = agent.Gate()
+	w := cfg.Work
+	f.handover.Book, err = work.Open(work.Options{Endpoints: cfg.Policy.Endpoints, Me: me, Batch: w.Batch, Pace: w.TakeoverPerS,
+		Limits:  ledger.Limits{Open: w.MaxOpen, Kept: w.MaxKept, Body: w.MaxBodyKB << 10, Answer: w.MaxAnswerKB << 10, Keep: w.Keep()},
+		Session: f.gate.Session, Attempts: func() int {
+			if t := f.gate.Last(); t != nil {
+				return t.MaxAttempts()
+			}
+			return 1
+		},
+		Resume: f.handover.Resume, Log: log, Spans: f.handover.Spans, Broken: work.Injected()})
 	if err != nil {
-		return nil, nil, errors.Join(err, kv.Close())
+		return nil, errors.Join(err, agent.Close(), kv.Close(), closeSpans())
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		agent.Run(ctx)
-	}()
-	if cfg.Store.ID != "" {
-		go fill(ctx, kv, cfg, log)
+	var all sync.WaitGroup
+	f.start = func() {
+		for _, run := range []func(context.Context){agent.Run, f.handover.Book.Run} {
+			all.Add(1)
+			go func() { defer all.Done(); run(ctx) }()
+		}
+		if cfg.Store.ID != "" {
+			go fill(ctx, kv, cfg, log)
+		}
 	}
-	return agent.Gate(), func() error {
+	f.leave = func() error {
+		settling, done := context.WithTimeout(context.Background(), leaves)
+		f.handover.Settle(settling)
+		done()
 		stop()
-		<-done
-		return errors.Join(agent.Close(), kv.Close())
-	}, nil
+		all.Wait()
+		return errors.Join(agent.Close(), f.handover.Book.Close(), kv.Close(), closeSpans())
+	}
+	return f, nil
+}
+
+// leaves is how long requests in hand whose clients have left may take to end before the router takes its registration
+// back; what is left then is another router's.
+const leaves = 10 * time.Second
+
+// living are the processes whose lease stands in a view.
+func living(v rollout.View) []ledger.Owner {
+	var out []ledger.Owner
+	for name, r := range v.Routers {
+		if r.Lease != 0 {
+			out = append(out, ledger.Owner{Name: name, Boot: r.Boot})
+		}
+	}
+	return out
 }
--- /dev/null
+++ b/internal/chat/flight.go
@@ -0,0 +1,574 @@
+package chat
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/trace"
+
+	"sumacloft/brain"
+	"sumacloft/internal/config"
+	"sumacloft/internal/core"
+	"sumacloft/internal/ledger"
+	"sumacloft/internal/work"
+)
+
+const (
+	keyHeader   = "Idempotency-Key"
+	epochHeader = "X-Sumacloft-Epoch" // a server that keeps the newest epoch of a key can refuse older ones
+	// waitsFor is how long a request may wait before it is written down that it does.
+	waitsFor = 50 * time.Millisecond
+	// endsFor is how long the end of a request is tried to be written down.
+	endsFor = 5 * time.Second
+	// writesFor is how long an intent to send may take: past that the request is refused while it can be.
+	writesFor = 1500 * time.Millisecond
+	// comeAgain is when a client is told to come again whose request another router has, or may take.
+	comeAgain = 500 * time.Millisecond
+	// looks is how often a request that another router runs is looked at.
+	looks = 20 * time.Millisecond
+)
+
+// Handover keeps the requests in hand of the classes that ask for it: what is sent is written down before, and what
+// has ended before its client hears of it. Use NewHandover, then Bind.
+type Handover struct {
+	Book  *work.Book
+	Spans work.Spans
+	// Serve has safe classes served on without a record while the store is away.
+	Serve bool
+	Log   logrus.FieldLogger
+
+	front   *Front
+	mu      sync.Mutex
+	flights map[string]*flight // by the record's key
+}
+
+// Bind gives a front its handover; it is called before the front serves.
+func (h *Handover) Bind(f *Front) {
+	h.front, h.flights, f.handover = f, map[string]*flight{}, h
+}
+
+// fate is how a request in hand ended for its clients.
+type fate uint8
+
+const (
+	running  fate = iota
+	answered      // by a server, and that is written down
+	unknown       // it may have run, and that is written down
+	refused       // it has not run, or may run again
+	away          // it was not sent, since that could not be written down
+	lost          // it is another router's by now
+)
+
+// flight is one request in hand. It outlives its client: who comes again finds it.
+type flight struct {
+	h      *Handover
+	entry  *work.Entry
+	job    *job
+	stop   context.CancelFunc
+	effect ledger.Effect
+
+	mu      sync.Mutex
+	head    ledger.Answer // Status and Type, once the answer has begun
+	body    []byte        // as it came
+	more    chan struct{} // closed when anything changes
+	fate    fate
+	holdOff time.Duration // with refused
+	twin    *ledger.Record
+}
+
+// effects are the effects of classes as records have them.
+var effects = map[string]ledger.Effect{"safe": ledger.Safe, "keyed": ledger.Keyed, "unsafe": ledger.Unsafe}
+
+// serve serves a request of a class that has handover.
+func (h *Handover) serve(w http.ResponseWriter, req *http.Request, t *Terms, j *job, class config.ChatClass) {
+	if !h.Book.Ready() {
+		h.without(w, req, j, class)
+		return
+	}
+	given := req.Header.Get(keyHeader)
+	rec := ledger.Record{Key: work.Anonymous(), Class: class.Name, Version: t.version, Effect: effects[class.Effect], Window: int64(class.WindowMs), Stream: j.stream,
+		TakenMs: time.Now().UnixMilli(), Deadline: time.Now().Add(j.arrival.Left).UnixMilli(), Digest: h.Book.Digest([]byte("body"), j.body),
+		Request: ledger.Request{Body: j.body, Type: j.contentType, Auth: j.auth, Session: req.Header.Get(t.set.SessionHeader), Key: given}}
+	if given != "" {
+		rec.Key = h.Book.Digest([]byte("key"), []byte(j.auth), []byte(given))
+		if h.known(w, req, rec) {
+			j.free()
+			return
+		}
+	}
+	entry, err := h.Book.New(rec, given != "")
+	switch {
+	case errors.As(err, new(*work.Conflict)): // one came in between
+		j.free()
+		if !h.known(w, req, rec) {
+			elsewhere(w)
+		}
+		return
+	case errors.Is(err, ledger.ErrFull):
+		j.free()
+		retryAfter(w, comeAgain)
+		fail(w, http.StatusServiceUnavailable, "server_error", "ledger_full", err.Error()+"; the request has not run")
+		return
+	case err != nil:
+		h.without(w, req, j, class)
+		return
+	}
+	span, named := h.Spans.Taken(rec)
+	entry.Traced(named)
+	fl := h.fly(entry, j, rec.Effect, span)
+	time.AfterFunc(waitsFor, fl.waits)
+	if twin := fl.answer(w, req); twin != nil && !h.known(w, req, rec) { // another router was quicker with the same key
+		elsewhere(w)
+	}
+}
+
+// without serves a request while nothing can be written down: a safe one, if the operator says so.
+func (h *Handover) without(w http.ResponseWriter, req *http.Request, j *job, class config.ChatClass) {
+	if h.Serve && class.Effect == "safe" {
+		h.front.run(w, req, j)
+		return
+	}
+	j.free()
+	unavailable(w)
+}
+
+func unavailable(w http.ResponseWriter) {
+	retryAfter(w, comeAgain)
+	fail(w, http.StatusServiceUnavailable, "server_error", "ledger_unavailable", "work in hand can't be written down just now; the request has not run")
+}
+
+// fly has a request run, whoever listens.
+func (h *Handover) fly(entry *work.Entry, j *job, effect ledger.Effect, span trace.Span) *flight {
+	ctx, stop := context.WithCancel(context.Background())
+	fl := &flight{h: h, entry: entry, job: j, stop: stop, effect: effect, more: make(chan struct{})}
+	j.flight = fl
+	key := entry.Record().Key
+	h.mu.Lock()
+	h.flights[key] = fl
+	h.mu.Unlock()
+	go func() {
+		defer func() {
+			if p := recover(); p != nil {
+				h.Log.Errorf("a request in hand panicked: %v\n%s", p, debug.Stack())
+			}
+			fl.close()
+			stop()
+			h.mu.Lock()
+			if h.flights[key] == fl {
+				delete(h.flights, key)
+			}
+			h.mu.Unlock()
+			span.End()
+		}()
+		h.front.core.Do(ctx, j, fl)
+	}()
+	return fl
+}
+
+// Resume runs what this router has taken over, to its end: through the core and the module like any other request,
+// with the time and the attempts that are left.
+func (h *Handover) Resume(entry *work.Entry) {
+	rec := entry.Record()
+	ctx, done := context.WithTimeout(context.Background(), endsFor)
+	defer done()
+	body, err := entry.Body()
+	t, gone := h.front.gate.Take(ctx)
+	if err != nil || gone != nil {
+		h.Log.WithField("key", rec.Key).WithError(errors.Join(err, gone)).Warn("work: what was taken over can't be run here")
+		entry.Leave() // it is found again
+		return
+	}
+	class, named := t.named[rec.Class]
+	if !named || effects[t.set.Classes[class].Effect] != rec.Effect {
+		class = len(t.set.Classes) // what the class was is gone: it must never run twice
+	}
+	j, _, err := h.front.read(t, body, class)
+	if err != nil {
+		h.Log.WithField("key", rec.Key).WithError(err).Warn("work: what was taken over can't be read under the policy in force")
+		if rec.Step == ledger.Waiting || rec.Effect == ledger.Safe {
+			_ = entry.Drop(ctx) // whoever comes again is told why
+		} else {
+			_ = entry.End(ctx, ledger.Unknown, ledger.Answer{})
+		}
+		return
+	}
+	j.auth, j.contentType, j.free = rec.Request.Auth, rec.Request.Type, func() {}
+	j.idempotency = rec.Request.Key
+	j.arrival.Left = time.Until(time.UnixMilli(rec.Deadline))
+	j.arrival.Tried = rec.Attempts
+	if rec.Effect == ledger.Keyed && t.set.MaxAttempts > 0 { // the window began elsewhere: one attempt, while it is open
+		j.arrival.Tried = max(rec.Attempts, t.set.MaxAttempts-1)
+	}
+	if rec.Request.Session != "" {
+		j.arrival.Session = hash([]byte(rec.Request.Session))
+	}
+	h.fly(entry, j, rec.Effect, h.Spans.Resumed(rec))
+}
+
+// HandOver gives what waits, and has a client that will come again, to other routers.
+func (h *Handover) HandOver() {
+	h.mu.Lock()
+	list := make([]*flight, 0, len(h.flights))
+	for _, fl := range h.flights {
+		list = append(list, fl)
+	}
+	h.mu.Unlock()
+	for _, fl := range list {
+		if rec := fl.entry.Record(); rec.Step != ledger.Waiting || !fl.entry.Keyed() {
+			continue
+		}
+		ctx, done := context.WithTimeout(context.Background(), writesFor)
+		if fl.entry.Free(ctx) == nil {
+			fl.end(lost, 0)
+			fl.stop()
+		}
+		done()
+	}
+}
+
+// Settle waits until nothing is in flight, or until ctx ends.
+func (h *Handover) Settle(ctx context.Context) {
+	for ctx.Err() == nil {
+		h.mu.Lock()
+		n := len(h.flights)
+		h.mu.Unlock()
+		if n == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(looks):
+		}
+	}
+}
+
+// waits writes down that the request waits, if it does.
+func (fl *flight) waits() {
+	fl.mu.Lock()
+	over := fl.fate != running
+	fl.mu.Unlock()
+	if over || fl.entry.Record().Attempts > 0 {
+		return
+	}
+	ctx, done := context.WithTimeout(context.Background(), writesFor)
+	defer done()
+	err := fl.entry.Wait(ctx)
+	if errors.As(err, new(*work.Conflict)) || errors.Is(err, ledger.ErrNotOwner) {
+		fl.abandon(err)
+	}
+}
+
+// sending is asked before an attempt: what is about to be sent must be written down. An error says that it is not sent.
+func (fl *flight) sending(ctx context.Context, worker string) error {
+	ctx, done := context.WithTimeout(ctx, writesFor)
+	defer done()
+	err := fl.entry.Sending(ctx, worker)
+	if err == nil {
+		return nil
+	}
+	fl.abandon(err)
+	return &core.AttemptError{Stage: core.NotConnected, Err: core.ErrCalledOff}
+}
+
+// abandon gives the request up here, unsent: it is another's, or it can't be written down.
+func (fl *flight) abandon(err error) {
+	var twin *work.Conflict
+	switch {
+	case errors.As(err, &twin):
+		fl.mu.Lock()
+		fl.twin = &twin.Record
+		fl.mu.Unlock()
+		fl.end(lost, 0)
+	case errors.Is(err, ledger.ErrNotOwner):
+		fl.end(lost, 0)
+	default:
+		fl.h.Log.WithField("key", fl.entry.Record().Key).WithError(err).Warn("work: a request is refused, since it can't be written down")
+		fl.end(away, 0)
+	}
+	fl.entry.Leave()
+	fl.stop()
+}
+
+// clear is asked just before the first byte, after whatever else was asked.
+func (fl *flight) clear(before func() error) func() error {
+	return func() error {
+		if err := before(); err != nil {
+			return err
+		}
+		if fl.entry.Clear() != nil {
+			fl.abandon(ledger.ErrNotOwner)
+			return core.ErrCalledOff
+		}
+		return nil
+	}
+}
+
+// tried is told how an attempt ended that brought no answer.
+func (fl *flight) tried(err error) {
+	var e *core.AttemptError
+	if errors.As(err, &e) && (e.Stage < core.Written && e.Verdict == core.NoVerdict || e.Verdict == core.TurnedAway) {
+		fl.entry.NeverRan()
+	}
+}
+
+// end settles the request's fate, once.
+func (fl *flight) end(f fate, holdOff time.Duration) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if fl.fate != running {
+		return
+	}
+	fl.fate, fl.holdOff = f, holdOff
+	fl.changed()
+}
+
+// changed wakes all who listen; the lock is held.
+func (fl *flight) changed() {
+	close(fl.more)
+	fl.more = make(chan struct{})
+}
+
+// ending writes an end down and only then lets clients hear of it.
+func (fl *flight) ending(f fate, holdOff, within time.Duration, write func(context.Context) error) {
+	fl.mu.Lock()
+	over := fl.fate != running
+	fl.mu.Unlock()
+	if over {
+		return
+	}
+	ctx, done := context.WithTimeout(context.Background(), within)
+	defer done()
+	if err := write(ctx); err != nil {
+		fl.h.Log.WithField("key", fl.entry.Record().Key).WithError(err).Info("work: the end could not be written down here; whoever has the request sees to it")
+		fl.entry.Leave()
+		f = lost
+	}
+	fl.end(f, holdOff)
+}
+
+// Refuse serves core.Client.
+func (fl *flight) Refuse(holdOff time.Duration) {
+	fl.ending(refused, holdOff, writesFor, fl.entry.Drop)
+}
+
+// Fail serves core.Client.
+func (fl *flight) Fail() {
+	fl.ending(unknown, 0, writesFor, func(ctx context.Context) error { return fl.entry.End(ctx, ledger.Unknown, ledger.Answer{}) })
+}
+
+// Pass serves core.Client: it never waits for who listens.
+func (fl *flight) Pass(events []byte) error {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if fl.fate != running || len(fl.body)+len(events) > maxWhole {
+		return errors.New("nobody can take the rest")
+	}
+	if fl.head.Status == 0 {
+		fl.head = ledger.Answer{Status: fl.job.status, Type: fl.job.kind()}
+	}
+	fl.body = append(fl.body, events...)
+	fl.changed()
+	return nil
+}
+
+// Finish serves core.Client.
+func (fl *flight) Finish() {
+	_ = fl.Pass(nil) // an answer that is a status alone
+	fl.mu.Lock()
+	a := fl.head
+	a.Body = fl.body
+	fl.mu.Unlock()
+	fl.ending(answered, 0, endsFor, func(ctx context.Context) error { return fl.entry.End(ctx, ledger.Answered, a) })
+}
+
+// Break serves core.Client: the answer broke midway.
+func (fl *flight) Break() {
+	if fl.effect == ledger.Safe {
+		fl.ending(refused, comeAgain, writesFor, fl.entry.Drop)
+		return
+	}
+	fl.Fail()
+}
+
+// close is told last: a request that the core gave up without an answer, as its context had ended, has one by now.
+func (fl *flight) close() {
+	fl.entry.Leave()
+	fl.end(lost, 0)
+}
+
+// answer serves one client from the flight. A request of which another router was quicker is given back.
+func (fl *flight) answer(w http.ResponseWriter, req *http.Request) (twin *ledger.Record) {
+	rc, at, begun := http.NewResponseController(w), 0, false
+	for {
+		fl.mu.Lock()
+		head, body, f, holdOff, more := fl.head, fl.body, fl.fate, fl.holdOff, fl.more
+		twin = fl.twin
+		fl.mu.Unlock()
+		if f != answered {
+			body = body[:deliverable(body, fl.job.stream && head.Status == http.StatusOK)]
+		}
+		if len(body) > at || (f == answered && !begun) {
+			if !begun {
+				begun = true
+				fl.job.headTo(w.Header(), head, len(body))
+				w.WriteHeader(head.Status)
+			}
+			if rc.SetWriteDeadline(time.Now().Add(writeTime)) != nil {
+				return nil
+			}
+			if _, err := w.Write(body[at:]); err != nil || rc.Flush() != nil {
+				return nil // the client has left; the flight goes on
+			}
+			at = len(body)
+		}
+		switch {
+		case f == running:
+			select {
+			case <-more:
+			case <-req.Context().Done():
+				return nil
+			}
+			continue
+		case f == answered:
+			_ = rc.SetWriteDeadline(time.Time{}) // a connection gone by now is seen by the server
+			return nil
+		case twin != nil && !begun:
+			return twin
+		case begun: // a stream that broke, or is another's: it is not closed, and coming again begins anew
+			panic(http.ErrAbortHandler)
+		}
+		fl.decline(w, f, holdOff)
+		return nil
+	}
+}
+
+// decline tells a client that has heard nothing yet that there is no answer.
+func (fl *flight) decline(w http.ResponseWriter, f fate, holdOff time.Duration) {
+	out := &client{w: w}
+	switch {
+	case f == refused:
+		out.Refuse(holdOff)
+	case f == away:
+		unavailable(w)
+	case f == lost && (fl.entry.Keyed() || fl.effect == ledger.Safe):
+		elsewhere(w)
+	default:
+		out.Fail()
+	}
+}
+
+// elsewhere sends a client that has a key to come again: the key guards it.
+func elsewhere(w http.ResponseWriter) {
+	retryAfter(w, comeAgain)
+	fail(w, http.StatusServiceUnavailable, "server_error", "in_progress", "the request is in hand; come again with the same key")
+}
+
+// deliverable is how much of an answer a client may have before its end is written down: of a stream all events but the
+// closing one, of anything else nothing.
+func deliverable(body []byte, stream bool) int {
+	if !stream {
+		return 0
+	}
+	end := bytes.LastIndexByte(body, '\n') + 1
+	for end > 0 { // an event ends with an empty line; the closing one is held back with whatever follows
+		event := bytes.LastIndex(body[:end], []byte(lastData))
+		if event < 0 {
+			return end
+		}
+		end = bytes.LastIndexByte(body[:event], '\n') + 1
+		if data, ok := bytes.CutPrefix(body[end:event], []byte("data:")); !ok || len(bytes.TrimSpace(data)) > 0 {
+			return bytes.LastIndexByte(body, '\n') + 1 // it only speaks of it
+		}
+		return end
+	}
+	return 0
+}
+
+// known answers a client whose key is known, from this router's flights or from the store; false: it is not known.
+func (h *Handover) known(w http.ResponseWriter, req *http.Request, rec ledger.Record) bool {
+	waited := time.NewTimer(time.Until(time.UnixMilli(rec.Deadline)))
+	defer waited.Stop()
+	seen := false
+	for {
+		h.mu.Lock()
+		fl := h.flights[rec.Key]
+		h.mu.Unlock()
+		if fl != nil {
+			if fl.entry.Record().Digest != rec.Digest {
+				reused(w)
+			} else if fl.answer(w, req) != nil {
+				elsewhere(w)
+			}
+			return true
+		}
+		found, there, err := h.Book.Find(req.Context(), rec.Key)
+		switch {
+		case err != nil: // what is there can't be told
+			unavailable(w)
+			return true
+		case !there && !seen:
+			return false
+		case !there: // it was in hand a moment ago, and has not run, or may run again
+			elsewhere(w)
+			return true
+		}
+		switch seen = true; found.Again(rec.Digest) {
+		case ledger.Other:
+			reused(w)
+			return true
+		case ledger.Same:
+			h.kept(w, found)
+			return true
+		}
+		select {
+		case <-req.Context().Done():
+			return true
+		case <-waited.C:
+			elsewhere(w)
+			return true
+		case <-time.After(looks):
+		}
+	}
+}
+
+func reused(w http.ResponseWriter) {
+	fail(w, http.StatusUnprocessableEntity, "invalid_request_error", "idempotency_key_reused", "the key was used for another request")
+}
+
+// kept answers with what a record has.
+func (h *Handover) kept(w http.ResponseWriter, rec ledger.Record) {
+	a, err := work.Kept(rec)
+	switch {
+	case err != nil:
+		h.Log.WithField("key", rec.Key).Error(err)
+		fallthrough
+	case rec.Outcome == ledger.Answered && a.Cut:
+		w.Header().Set(noRetry, "false")
+		fail(w, statusUnknown, "server_error", "answer_not_kept", "the request has run; its answer was too large to be kept")
+	case rec.Outcome == ledger.Answered:
+		w.Header().Set("Content-Type", a.Type)
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+		w.WriteHeader(a.Status)
+		_, _ = w.Write(a.Body) // a client that has left may come again
+	default:
+		(&client{w: w}).Fail()
+	}
+}
+
+// read makes a job of a body that another router took, under a class by its place in the terms.
+func (f *Front) read(t *Terms, body []byte, class int) (*job, brain.Arrived, error) {
+	a, limit, err := t.read(body)
+	if err != nil {
+		return nil, brain.Arrived{}, err
+	}
+	j := f.job(t, a, limit, class, body)
+	f.measure(&j.arrival, a.Messages, "")
+	return j, j.arrival, nil
+}
--- a/internal/chat/front.go
+++ b/internal/chat/front.go
@@ -36,7 +36,8 @@
 	core        *core.Core
 	servers     *Servers
 	gate        Gate
-	showVersion bool // answers name the version that they were decided under
+	showVersion bool      // answers name the version that they were decided under
+	handover    *Handover // nil: no class has it
 	closing     atomic.Bool
 	mux         *http.ServeMux
 }
@@ -148,6 +149,15 @@
 	}
 	j.free = free
 	j.arrival.Left -= time.Since(came) // it may have waited for a change of policy
+	if class, ok := t.handsOver(j.class); ok && f.handover != nil {
+		f.handover.serve(w, req, t, j, class)
+		return
+	}
+	f.run(w, req, j)
+}
+
+// run has the core serve a request whose client is the only one that will ever hear of it.
+func (f *Front) run(w http.ResponseWriter, req *http.Request, j *job) {
 	out := &client{w: w, rc: http.NewResponseController(w), job: j}
 	f.core.Do(req.Context(), j, out)
 	if out.broken {
@@ -178,26 +188,34 @@
 	MaxNew   *float64          `json:"max_completion_tokens"`
 }
 
-func (f *Front) parse(t *Terms, req *http.Request, body []byte) (*job, int, error) {
-	var a asked
+// read takes out of a body what a request is decided by, and checks it.
+func (t *Terms) read(body []byte) (a asked, limit float64, err error) {
 	if err := json.Unmarshal(body, &a); err != nil {
-		return nil, http.StatusBadRequest, fmt.Errorf("the body is not a chat completion request: %w", err)
+		return a, 0, fmt.Errorf("the body is not a chat completion request: %w", err)
 	}
 	if a.Model == nil || *a.Model == "" {
-		return nil, http.StatusBadRequest, errors.New("model: missing")
+		return a, 0, errors.New("model: missing")
 	}
 	if len(a.Messages) == 0 {
-		return nil, http.StatusBadRequest, errors.New("messages: missing or empty")
+		return a, 0, errors.New("messages: missing or empty")
 	}
-	limit := t.set.MaxTokens
+	limit = t.set.MaxTokens
 	for _, v := range []*float64{a.Max, a.MaxNew} {
 		if v != nil {
 			if !(*v >= 1) {
-				return nil, http.StatusBadRequest, errors.New("max_tokens: must be at least 1")
+				return a, 0, errors.New("max_tokens: must be at least 1")
 			}
 			limit = *v
 		}
 	}
+	return a, limit, nil
+}
+
+func (f *Front) parse(t *Terms, req *http.Request, body []byte) (*job, int, error) {
+	a, limit, err := t.read(body)
+	if err != nil {
+		return nil, http.StatusBadRequest, err
+	}
 	class, known := t.class[*a.Model]
 	if name := req.Header.Get(t.set.ClassHeader); name != "" {
 		if class, known = t.named[name]; !known {
@@ -210,13 +228,18 @@
 		}
 		class = len(t.set.Classes) // the last one: it must never run twice
 	}
-	j := &job{servers: f.servers, body: body, stream: a.Stream, auth: req.Header.Get("Authorization"),
-		contentType: req.Header.Get("Content-Type"), arrival: brain.Arrived{Class: t.places[class], MaxTokens: limit,
-			Left: t.patience(class, a.Stream)}}
+	j := f.job(t, a, limit, class, body)
+	j.auth, j.contentType, j.idempotency = req.Header.Get("Authorization"), req.Header.Get("Content-Type"), req.Header.Get(keyHeader)
 	f.measure(&j.arrival, a.Messages, req.Header.Get(t.set.SessionHeader))
 	return j, 0, nil
 }
 
+// job makes a request of a class, by its place in the terms.
+func (f *Front) job(t *Terms, a asked, limit float64, class int, body []byte) *job {
+	return &job{servers: f.servers, body: body, stream: a.Stream, class: class,
+		arrival: brain.Arrived{Class: t.places[class], MaxTokens: limit, Left: t.patience(class, a.Stream)}}
+}
+
 // patience is how long the answer may take to begin. One that does not stream begins when it is whole.
 func (t *Terms) patience(class int, stream bool) time.Duration {
 	longest := 0.0
--- a/internal/chat/servers.go
+++ b/internal/chat/servers.go
@@ -1,6 +1,7 @@
 package chat
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +11,7 @@
 
 	"sumacloft/brain"
 	"sumacloft/internal/core"
+	"sumacloft/internal/ledger"
 	"sumacloft/internal/upstream"
 )
 
@@ -55,6 +57,9 @@
 	stream      bool
 	auth        string
 	contentType string
+	idempotency string  // the client's Idempotency-Key
+	class       int     // the class's place in the terms that it was taken under
+	flight      *flight // nil: it is not written down
 
 	free   func() // gives back the body's memory
 	status int    // of the answer that is passed on
@@ -76,6 +81,20 @@
 
 // Try serves core.Job.
 func (j *job) Try(ctx context.Context, w core.Worker, clear func() error) (core.Reply, error) {
+	if j.flight == nil {
+		return j.try(ctx, w, clear)
+	}
+	if err := j.flight.sending(ctx, w.Name); err != nil {
+		return core.Reply{}, err
+	}
+	reply, err := j.try(ctx, w, j.flight.clear(clear))
+	if err != nil {
+		j.flight.tried(err)
+	}
+	return reply, err
+}
+
+func (j *job) try(ctx context.Context, w core.Worker, clear func() error) (core.Reply, error) {
 	a, err := j.servers.pool.Do(ctx, w.Addr, http.MethodPost, j.bytes(w), clear)
 	if err != nil {
 		return core.Reply{}, err
@@ -130,7 +149,12 @@
 	out := make([]byte, 0, 512+len(j.body))
 	out = append(out, "POST /v1/chat/completions HTTP/1.1\r\nHost: "+w.Addr+"\r\n"...)
 	out = append(out, idHeader+": "+j.id()+"\r\n"...)
-	for _, h := range [...][2]string{{"Content-Type", j.contentType}, {"Authorization", j.auth}} {
+	headers := [][2]string{{"Content-Type", j.contentType}, {"Authorization", j.auth}}
+	if j.flight != nil { // the client's own key, or one of ours, and whose turn it is
+		rec := j.flight.entry.Record()
+		headers = append(headers, [2]string{keyHeader, cmp.Or(j.idempotency, rec.Key)}, [2]string{epochHeader, strconv.FormatInt(rec.Epoch, 10)})
+	}
+	for _, h := range headers {
 		if h[1] != "" {
 			out = append(out, h[0]+": "+h[1]+"\r\n"...)
 		}
@@ -144,17 +168,21 @@
 
 // served puts the head of a server's answer together.
 func (j *job) served(h http.Header) {
-	kind := j.header.Get("Content-Type")
-	if kind == "" {
-		kind = "application/json"
-	}
-	h.Set("Content-Type", kind)
+	j.headTo(h, ledger.Answer{Status: j.status, Type: j.kind()}, j.length)
+}
+
+// kind is the answer's content type.
+func (j *job) kind() string { return cmp.Or(j.header.Get("Content-Type"), "application/json") }
+
+// headTo writes the head of an answer of a length, which a stream does not tell.
+func (j *job) headTo(h http.Header, a ledger.Answer, length int) {
+	h.Set("Content-Type", a.Type)
 	h.Set(idHeader, j.id())
-	if j.stream && j.status == http.StatusOK {
+	if j.stream && a.Status == http.StatusOK {
 		h.Set("Cache-Control", "no-cache")
 		return
 	}
-	h.Set("Content-Length", strconv.Itoa(j.length))
+	h.Set("Content-Length", strconv.Itoa(length))
 }
 
 var (
--- a/internal/chat/terms.go
+++ b/internal/chat/terms.go
@@ -41,6 +41,17 @@
 	return t
 }
 
+// handsOver gives the class at a place, if its work in hand is written down.
+func (t *Terms) handsOver(class int) (config.ChatClass, bool) {
+	if class >= len(t.set.Classes) || !t.set.Classes[class].Handover {
+		return config.ChatClass{}, false
+	}
+	return t.set.Classes[class], true
+}
+
+// MaxAttempts is how many attempts a request may have.
+func (t *Terms) MaxAttempts() int { return t.set.MaxAttempts }
+
 // Gate gives each arrival the terms that it is decided under.
 type Gate interface {
 	// Take gives the terms that are in force, or an error after which the request has not run.
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -24,6 +24,7 @@
 	Members   Members `toml:"members"`
 	Store     Store   `toml:"store"`
 	Policy    Policy  `toml:"policy"`
+	Work      Work    `toml:"work"`
 }
 
 // Members says where the list of servers is watched in etcd's API; without endpoints it is not.
@@ -189,7 +190,9 @@
 type ChatClass struct {
 	Name       string   `toml:"name"`
 	Models     []string `toml:"models"`
-	Effect     string   `toml:"effect"` // safe or unsafe
+	Effect     string   `toml:"effect"`             // safe, keyed or unsafe
+	WindowMs   float64  `toml:"window_ms,omitzero"` // keyed: for how long servers drop repeats of an Idempotency-Key
+	Handover   bool     `toml:"handover,omitempty"` // work in hand is written down, so that another router can take it over
 	AimMs      float64  `toml:"aim_ms"`
 	DeadlineMs float64  `toml:"deadline_ms"`
 	WholeMs    float64  `toml:"whole_ms"` // deadline of an answer that does not stream
@@ -224,7 +227,7 @@
 func ReadOperator(path string) (Operator, error) {
 	o := Operator{Name: "sumacloft", Store: Store{ConfigKey: "/sumacloft/config/chat", KeepRevisions: 20000},
 		Members: Members{Prefix: "/sumacloft/members/"}, Chat: defaultChat(),
-		Policy: Policy{OnLapse: LapseRefuse, LeaseS: 3, HoldMs: 500, HoldMost: 1024}}
+		Policy: Policy{OnLapse: LapseRefuse, LeaseS: 3, HoldMs: 500, HoldMost: 1024}, Work: defaultWork()}
 	meta, err := toml.DecodeFile(path, &o)
 	if err != nil {
 		return o, fmt.Errorf("%s: %w", path, err)
@@ -254,6 +257,9 @@
 	if err := o.Policy.check(o.Store); err != nil {
 		return o, err
 	}
+	if err := o.Work.check(); err != nil {
+		return o, err
+	}
 	if o.Discovery != "" && len(o.Members.Endpoints) > 0 {
 		return o, fmt.Errorf("discovery: there are members.endpoints (or a store) too; only one can name the servers")
 	}
@@ -291,8 +297,11 @@
 			return fmt.Errorf("%s.name: %q is missing or there twice", key, k.Name)
 		}
 		names[k.Name] = true
-		if k.Effect != "safe" && k.Effect != "unsafe" {
-			return fmt.Errorf("%s.effect: %q is neither safe nor unsafe", key, k.Effect)
+		if k.Effect != "safe" && k.Effect != "unsafe" && k.Effect != "keyed" {
+			return fmt.Errorf("%s.effect: %q is none of safe, keyed and unsafe", key, k.Effect)
+		}
+		if (k.Effect == "keyed") != (k.WindowMs > 0) {
+			return fmt.Errorf("%s.window_ms: %g, is positive where effect is keyed, and there only", key, k.WindowMs)
 		}
 		for _, m := range k.Models {
 			if m == "" || models[m] {
@@ -354,11 +363,14 @@
 		Kinds: []brain.Kind{{Role: brain.Mixed, MemoryTokens: c.MemoryTokens}}}
 	longest := 0.0
 	for _, k := range c.Classes {
-		effect := brain.Safe
-		if k.Effect == "unsafe" {
-			effect = brain.Unsafe
+		class := brain.Class{Aim: Millis(k.AimMs), Deadline: Millis(k.DeadlineMs), Worth: k.Worth}
+		switch k.Effect {
+		case "unsafe":
+			class.Effect = brain.Unsafe
+		case "keyed":
+			class.Effect, class.RepeatWindow = brain.Keyed, Millis(k.WindowMs)
 		}
-		set.Classes = append(set.Classes, brain.Class{Aim: Millis(k.AimMs), Deadline: Millis(k.DeadlineMs), Worth: k.Worth, Effect: effect})
+		set.Classes = append(set.Classes, class)
 		longest = max(longest, k.DeadlineMs)
 	}
 	set.Classes = append(set.Classes, brain.Class{Aim: Millis(longest / 4), Deadline: Millis(longest), Worth: 1, Effect: brain.Unsafe})
--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -114,8 +114,8 @@
 type PolicyNeeds struct {
 	Zones    []string `toml:"zones,omitempty"`
 	Servers  []string `toml:"servers,omitempty"`
-	Sockets  int      `toml:"sockets,omitempty"`
-	MemoryMB int      `toml:"memory_mb,omitempty"`
+	Sockets  int      `toml:"sockets,omitzero"`
+	MemoryMB int      `toml:"memory_mb,omitzero"`
 }
 
 // PolicySchema is the published schema of a policy's structure.
@@ -224,6 +224,11 @@
 			return c, fmt.Errorf("needs.servers: this router's chat.server lacks %q", id)
 		}
 	}
+	for i, k := range c.Classes {
+		if k.Handover && (!o.Policy.On() || o.Policy.OnLapse != LapseRefuse) {
+			return c, fmt.Errorf("chat.class[%d].handover: work is taken over once a router's lease is over, and this router's policy.on_lapse is not %q", i, LapseRefuse)
+		}
+	}
 	switch {
 	case d.Needs.Sockets > o.Limits.Sockets:
 		return c, fmt.Errorf("needs.sockets: %d, this router's limits.sockets is %d", d.Needs.Sockets, o.Limits.Sockets)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -37,6 +38,8 @@
 	Policy  string
 	// File is put at the end of every daemon's file.
 	File string
+	// Classes are the classes of the first policy, as TOML; one safe class "query" if it is empty.
+	Classes string
 	// Answers is how a stand-in server answers; nil: at once, with a few bytes.
 	Answers http.Handler
 }
@@ -157,7 +160,7 @@
 	var b strings.Builder
 	p := func(format string, args ...any) { _, _ = fmt.Fprintf(&b, format+"\n", args...) }
 	p("name = %q\nlisten = %q\n[limits]\ncores = 1\nmemory_mb = 192\nsockets = 1024", d.Name, d.Listen)
-	p("[chat]\n[[chat.class]]\nname = \"query\"\nmodels = [\"query\"]\neffect = \"safe\"\ndeadline_ms = 2000")
+	p("[chat]\n%s", cmp.Or(f.o.Classes, "[[chat.class]]\nname = \"query\"\nmodels = [\"query\"]\neffect = \"safe\"\ndeadline_ms = 2000"))
 	for i := range f.o.Servers {
 		p("[[chat.server]]\nid = %q\naddr = %q", serverName(i), f.back[[2]string{d.Name, serverName(i)}].Addr())
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -59,7 +59,14 @@
 	if err != nil {
 		t.Fatalf("the laboratory failed: %v\n%s", err, s)
 	}
-	logs, err := filepath.Glob(filepath.Join(o.Dir, "*.log"))
+	inLogs(t, s, o.Dir)
+	return rep
+}
+
+// inLogs looks for what must be in no daemon's log.
+func inLogs(t *testing.T, s Schedule, dir string) {
+	t.Helper()
+	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
 	if err != nil || len(logs) < s.Daemons {
 		t.Fatalf("%d logs, %v", len(logs), err)
 	}
@@ -75,7 +82,6 @@
 			t.Errorf("%s: %s", path, text[at:min(at+2000, len(text))])
 		}
 	}
-	return rep
 }
 
 func holds(t *testing.T, s Schedule, rep Report) {
--- a/internal/policy/agent.go
+++ b/internal/policy/agent.go
@@ -18,6 +18,7 @@
 // Options set up an agent.
 type Options[T any] struct {
 	Name      string // the router's, unique in its fleet
+	Boot      string // of this process, drawn if it is empty
 	Listen    string // where it serves, for people
 	Endpoints []string
 	Dir       string // "": none, and nothing is kept over a restart
@@ -32,7 +33,9 @@
 	Check func(text string) error
 	// TakeUp makes the terms of a version that passed Check, before the first request is taken under it.
 	TakeUp func(v rollout.Version) (T, error)
-	Log    logrus.FieldLogger
+	// Seen is told of each view that is acted on; nil: nobody is.
+	Seen func(rollout.View)
+	Log  logrus.FieldLogger
 	// Broken makes an agent that breaks one rule on purpose, so that checkers can be shown to find it.
 	Broken Fault
 }
@@ -81,7 +84,10 @@
 	if err != nil {
 		return nil, errors.Join(err, client.Close())
 	}
-	return &Agent[T]{o: o, store: Store{client}, home: h, boot: uuid.NewString(), gate: NewGate[T](o.Patience, o.Most),
+	if o.Boot == "" {
+		o.Boot = uuid.NewString()
+	}
+	return &Agent[T]{o: o, store: Store{client}, home: h, boot: o.Boot, gate: NewGate[T](o.Patience, o.Most),
 		driver: rollout.Driver{Me: o.Name}, verdicts: map[string]error{}}, nil
 }
 
@@ -309,6 +315,9 @@
 		a.gate.set(state[T]{why: errLost.Error(), terms: a.made, lease: newLease(0)})
 		return 0, errLost
 	}
+	if a.o.Seen != nil {
+		a.o.Seen(v)
+	}
 	if err := a.stand(s, v.Running()); err != nil {
 		a.o.Log.WithError(err).Error("policy: the copy can't be written; this router does not go along with a change")
 		return again, nil
--- a/internal/policy/gate.go
+++ b/internal/policy/gate.go
@@ -101,6 +101,15 @@
 	return nil
 }
 
+// Session is the lease that the registration stands on now; nil: none that is known to last. Another lease is another
+// session.
+func (g *Gate[T]) Session() any {
+	if s := g.state.Load(); s.lease != nil && int64(g.now()) < s.lease.until.Load() {
+		return s.lease
+	}
+	return nil
+}
+
 // Last is what was served last, whatever the gate says now.
 func (g *Gate[T]) Last() T { return g.state.Load().terms }
 
--- /dev/null
+++ b/internal/work/fault.go
@@ -0,0 +1,6 @@
+//go:build !broken
+
+package work
+
+// Injected is the fault that this build has: none.
+func Injected() Fault { return "" }
--- /dev/null
+++ b/internal/work/fault_broken.go
@@ -0,0 +1,8 @@
+//go:build broken
+
+package work
+
+import "os"
+
+// Injected is the fault that a build for the checkers' own proof has, as the environment says.
+func Injected() Fault { return Fault(os.Getenv("SUMACLOFT_BROKEN")) }
