--- a/cmd/sumactl/main_test.go
+++ b/cmd/sumactl/main_test.go
@@ -83,6 +83,10 @@
 		{line: "policy outcome 1-none", notes: "changed nothing", out: "aborted", code: 1},
 		{line: "policy schema", out: "json-schema.org"},
 		{line: "routers", out: "ROUTER"},
+		{line: "work", out: "KEY"},
+		{line: "work unknown", out: "KEY"},
+		{line: "--output json work list --ended", out: "["},
+		{line: "work show x", notes: "no record", code: 1},
 		{line: "routers remove x", notes: "no router", code: 1},
 	} {
 		var out, notes bytes.Buffer
--- a/internal/chat/flight.go
+++ b/internal/chat/flight.go
@@ -107,9 +107,7 @@
 	switch {
 	case errors.As(err, new(*work.Conflict)): // one came in between
 		j.free()
-		if !h.known(w, req, rec) {
-			elsewhere(w)
-		}
+		h.twin(w, req, rec)
 		return
 	case errors.Is(err, ledger.ErrFull):
 		j.free()
@@ -124,8 +122,8 @@
 	entry.Traced(named)
 	fl := h.fly(entry, j, rec.Effect, span)
 	time.AfterFunc(waitsFor, fl.waits)
-	if twin := fl.answer(w, req); twin != nil && !h.known(w, req, rec) { // another router was quicker with the same key
-		elsewhere(w)
+	if fl.answer(w, req) != nil { // another router was quicker with the same key
+		h.twin(w, req, rec)
 	}
 }
 
@@ -539,6 +537,16 @@
 	}
 }
 
+// twin answers a client whose key is surely known, though it may not show yet, here or in this router's copy.
+func (h *Handover) twin(w http.ResponseWriter, req *http.Request, rec ledger.Record) {
+	for end := time.Now().Add(comeAgain); !h.known(w, req, rec); time.Sleep(looks / 4) {
+		if time.Now().After(end) {
+			elsewhere(w)
+			return
+		}
+	}
+}
+
 func reused(w http.ResponseWriter) {
 	fail(w, http.StatusUnprocessableEntity, "invalid_request_error", "idempotency_key_reused", "the key was used for another request")
 }
