--- a/internal/chat/flight.go
+++ b/internal/chat/flight.go
@@ -499,14 +499,14 @@
 		h.mu.Lock()
 		fl := h.flights[rec.Key]
 		h.mu.Unlock()
-		if fl != nil {
-			if fl.entry.Record().Digest != rec.Digest {
-				reused(w)
-			} else if fl.answer(w, req) != nil {
-				elsewhere(w)
-			}
+		if fl != nil && fl.entry.Record().Digest != rec.Digest {
+			reused(w)
+			return true
+		}
+		if fl != nil && fl.answer(w, req) == nil {
 			return true
 		}
+		seen = seen || fl != nil // of a flight that lost to another router's, that one is looked for
 		found, there, err := h.Book.Find(req.Context(), rec.Key)
 		switch {
 		case err != nil: // what is there can't be told
