--- a/cmd/sumalab/main.go
+++ b/cmd/sumalab/main.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/jedib0t/go-pretty/v6/table"
@@ -26,6 +27,8 @@
 	Replay replayLine `cmd:"" help:"Run one schedule from its print."`
 	Work   workLine   `cmd:"" help:"Run many schedules of faults on work in hand."`
 
+	MeasureWork measureWorkLine `cmd:"" help:"Measure what writing work down costs: filings a second without it, with an entry of the log for each record, and with group commit; and how long a dead router's records take to be settled."`
+
 	Measure measureLine `cmd:"" help:"Measure changes of policy under load, healthy and with a router or the leader gone."`
 }
 
@@ -328,6 +331,41 @@
 	return l.show(out, list, t.Render()+"\n")
 }
 
+type measureWorkLine struct {
+	Runs   int           `help:"How many runs of each." default:"3"`
+	Span   time.Duration `help:"How long each takes." default:"4s"`
+	InHand int           `help:"How many records a dead router leaves behind." default:"1000"`
+	common
+}
+
+// Run measures.
+func (l *measureWorkLine) Run(ctx context.Context, out io.Writer) error {
+	dir, err := os.MkdirTemp("", "sumalab")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	said := func(text string) { fmt.Fprintln(os.Stderr, text) }
+	list, err := lab.MeasureWork(ctx, lab.Options{Dir: dir, Bin: l.Bin, LeaseS: 3}, l.Runs, l.Span, said)
+	if err != nil {
+		return err
+	}
+	settling, err := lab.MeasureSettling(ctx, lab.Options{Dir: dir, Bin: l.Bin, LeaseS: 3}, l.InHand)
+	if err != nil {
+		return err
+	}
+	t := table.NewWriter()
+	t.SetStyle(table.StyleLight)
+	t.AppendHeader(table.Row{"how", "at once", "run", "filings/s", "p50 ms", "p99 ms"})
+	for _, m := range list {
+		t.AppendRow(table.Row{m.How, m.AtOnce, m.Run, fmt.Sprintf("%.0f", m.PerSecond), m.P50, m.P99})
+	}
+	return l.show(out, struct {
+		Filings  []lab.WorkMeasure `json:"filings"`
+		Settling lab.Settling      `json:"settling"`
+	}{list, settling}, fmt.Sprintf("%s\n%d records of a dead router were settled %.1f s after its kill, %d s of them its lease\n", t.Render(), settling.InHand, settling.Seconds, settling.LeaseS))
+}
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
--- a/internal/chat/flight.go
+++ b/internal/chat/flight.go
@@ -25,6 +25,8 @@
 	epochHeader = "X-Sumacloft-Epoch" // a server that keeps the newest epoch of a key can refuse older ones
 	// waitsFor is how long a request may wait before it is written down that it does.
 	waitsFor = 50 * time.Millisecond
+	// streamsFor is how long an answer may stream before it is written down that it does.
+	streamsFor = 200 * time.Millisecond
 	// endsFor is how long the end of a request is tried to be written down.
 	endsFor = 5 * time.Second
 	// writesFor is how long an intent to send may take: past that the request is refused while it can be.
@@ -263,6 +265,21 @@
 	}
 }
 
+// streams writes down that the answer streams, if it still does.
+func (fl *flight) streams() {
+	fl.mu.Lock()
+	over := fl.fate != running
+	fl.mu.Unlock()
+	if over {
+		return
+	}
+	ctx, done := context.WithTimeout(context.Background(), writesFor)
+	defer done()
+	if err := fl.entry.Streaming(ctx); err != nil { // the end, which is written too, decides
+		fl.h.Log.WithField("key", fl.entry.Record().Key).WithError(err).Debug("work: not written down that it streams")
+	}
+}
+
 // sending is asked before an attempt: what is about to be sent must be written down. An error says that it is not sent.
 func (fl *flight) sending(ctx context.Context, worker string) error {
 	ctx, done := context.WithTimeout(ctx, writesFor)
@@ -371,6 +388,9 @@
 	}
 	if fl.head.Status == 0 {
 		fl.head = ledger.Answer{Status: fl.job.status, Type: fl.job.kind()}
+		if fl.job.stream {
+			time.AfterFunc(streamsFor, fl.streams)
+		}
 	}
 	fl.body = append(fl.body, events...)
 	fl.changed()
--- a/internal/chat/gate_test.go
+++ b/internal/chat/gate_test.go
@@ -42,9 +42,10 @@
 // A front takes up new terms without a restart: each answer names the version that it was decided under, a request
 // under way ends under its own, and while the gate is shut requests are refused in a way that lets clients come again.
 func TestTermsChange(t *testing.T) {
-	wait := make(chan struct{})
+	wait, reached := make(chan struct{}), make(chan struct{})
 	set := set(standin.HTTP(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if req.ContentLength > 200 { // the long one
+			close(reached)
 			<-wait
 		}
 		_, _ = fmt.Fprint(w, "{}")
@@ -93,7 +94,7 @@
 		status, version, _ := ask("filing", strings.Repeat("x", 300))
 		long <- fmt.Sprint(status, version)
 	}()
-	standin.Eventually(t, 5*time.Second, "the long one is under way", func() bool { return c.Open() > 0 })
+	<-reached
 	next := set
 	next.Classes = []config.ChatClass{{Name: "other", Models: []string{"other"}, Effect: "safe", AimMs: 300, DeadlineMs: 700, WholeMs: 700, Worth: 1}}
 	brain, places := classes.Take(next)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -247,18 +247,17 @@
 func (c *Core) Settle(ctx context.Context) {
 	every := time.NewTicker(settled)
 	defer every.Stop()
-	for c.Open() > 0 {
+	for c.open() > 0 {
 		select {
 		case <-ctx.Done():
-			c.log.WithField("requests", c.Open()).Warn("ending with work still out")
+			c.log.WithField("requests", c.open()).Warn("ending with work still out")
 			return
 		case <-every.C:
 		}
 	}
 }
 
-// Open is how many requests are not over yet.
-func (c *Core) Open() int {
+func (c *Core) open() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.requests)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -148,6 +148,8 @@
 	return nil
 }
 
+func makeDir(path string) error { return os.MkdirAll(path, 0o700) }
+
 func serverName(i int) string { return fmt.Sprintf("s%d", i+1) }
 
 func plain(w http.ResponseWriter, req *http.Request) {
@@ -161,7 +163,7 @@
 func (f *Fleet) text(d *Daemon) string {
 	var b strings.Builder
 	p := func(format string, args ...any) { _, _ = fmt.Fprintf(&b, format+"\n", args...) }
-	p("name = %q\nlisten = %q\n[limits]\ncores = 1\nmemory_mb = 192\nsockets = 1024", d.Name, d.Listen)
+	p("name = %q\nlisten = %q\n[limits]\ncores = 1\nmemory_mb = 192\nsockets = 4096", d.Name, d.Listen)
 	p("[chat]\n%s", cmp.Or(f.o.Classes, "[[chat.class]]\nname = \"query\"\nmodels = [\"query\"]\neffect = \"safe\"\ndeadline_ms = 2000"))
 	for i := range f.o.Servers {
 		p("[[chat.server]]\nid = %q\naddr = %q", serverName(i), f.back[[2]string{d.Name, serverName(i)}].Addr())
--- a/internal/lab/work_test.go
+++ b/internal/lab/work_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 )
@@ -78,6 +81,46 @@
 	}
 }
 
+// The spans of a request over the two routers that it lived in are one trace, though the first was killed.
+func TestTraceOverRouters(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "spans")
+	s := schedule(t, "refuse", "+300ms numb d1; +400ms kill d1; +2500ms start d1")
+	carryWork(t, s, Options{Bin: build(t, "", "-race"), File: fmt.Sprintf("[work]\ntrace_file = %q\n", path)})
+	f, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	routers := map[string]map[string]string{} // by trace: which router did what
+	for d := json.NewDecoder(f); ; {
+		var span struct {
+			Name        string
+			SpanContext struct{ TraceID string }
+			Attributes  []struct {
+				Key   string
+				Value struct{ Value any }
+			}
+		}
+		if err := d.Decode(&span); err != nil {
+			break
+		}
+		for _, a := range span.Attributes {
+			if a.Key == "router" {
+				if routers[span.SpanContext.TraceID] == nil {
+					routers[span.SpanContext.TraceID] = map[string]string{}
+				}
+				routers[span.SpanContext.TraceID][span.Name] = fmt.Sprint(a.Value.Value)
+			}
+		}
+	}
+	for _, did := range routers {
+		if did["taken"] == "d1" && did["takeover"] != "" && did["takeover"] != "d1" {
+			return
+		}
+	}
+	t.Errorf("no trace over two routers among %d", len(routers))
+}
+
 // Programs that break one rule on purpose are found out. The pause stands for a dial that takes longer than a lease.
 func TestBrokenWorkIsFound(t *testing.T) {
 	bin := build(t, "broken")
--- a/internal/work/book.go
+++ b/internal/work/book.go
@@ -337,6 +337,18 @@
 	return e.write(ctx, next)
 }
 
+// Streaming writes down that the answer has begun, for those who look; it changes nothing of what may be done.
+func (e *Entry) Streaming(ctx context.Context) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.over || e.rec.Step != ledger.Sent {
+		return nil
+	}
+	next := e.rec
+	next.Step = ledger.Streaming
+	return e.write(ctx, next)
+}
+
 // NeverRan notes that the last attempt surely did not reach a server. It is written with what comes next.
 func (e *Entry) NeverRan() {
 	e.mu.Lock()
--- a/internal/work/spans.go
+++ b/internal/work/spans.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return Spans{}, nil, errors.Join(err, f.Close())
 	}
-	p := sdk.NewTracerProvider(sdk.WithBatcher(out))
+	p := sdk.NewTracerProvider(sdk.WithSyncer(out)) // a router that is killed leaves what it had ended
 	return Spans{p.Tracer("sumacloft/work"), router}, func() error { return errors.Join(p.Shutdown(context.Background()), f.Close()) }, nil
 }
 
@@ -45,14 +45,17 @@
 	return span
 }
 
-// Taken begins the span of a request that was taken here, and gives what its record names it by.
+// Taken marks that a request was taken here, begins the span of its life here, and gives what its record names the
+// trace by.
 func (s Spans) Taken(rec ledger.Record) (trace.Span, string) {
-	span := s.start(context.Background(), "request", rec)
-	c := span.SpanContext()
+	mark := s.start(context.Background(), "taken", rec)
+	mark.End() // written at once: this router may not live to see the request's end
+	c := mark.SpanContext()
 	if !c.IsValid() {
-		return span, ""
+		return mark, ""
 	}
-	return span, c.TraceID().String() + "-" + c.SpanID().String()
+	rec.Trace = c.TraceID().String() + "-" + c.SpanID().String()
+	return s.start(parent(rec), "request", rec), rec.Trace
 }
 
 // Resumed begins the span of a request that goes on here, in the trace in which it was taken.
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -251,6 +251,34 @@
 	taken(t, a, record("3", ledger.Safe))
 }
 
+// A key whose time is over is as good as new.
+func TestExpiry(t *testing.T) {
+	endpoint, _ := node(t)
+	a := open(t, endpoint, "a", nil)
+	e := taken(t, a, record("k", ledger.Unsafe))
+	must(t, e.Sending(t.Context(), "s"))
+	must(t, e.Streaming(t.Context()))
+	if found, _, _ := a.Find(t.Context(), "k"); found.Step != ledger.Streaming {
+		t.Errorf("%+v", found)
+	}
+	must(t, e.End(t.Context(), ledger.Answered, ledger.Answer{Status: 200}))
+	must(t, a.client.Revoke(t.Context(), a.bucket.id)) // as when its time is over
+	if _, there, err := a.Find(t.Context(), "k"); there || err != nil {
+		t.Fatalf("%v, %v", there, err)
+	}
+	a.mu.Lock()
+	a.bucket = bucket{}
+	a.mu.Unlock()
+	a.poke()
+	standin.Eventually(t, 5*time.Second, "another lease is there", a.Ready)
+	again := taken(t, a, record("k", ledger.Unsafe))
+	must(t, again.Sending(t.Context(), "s"))
+	must(t, again.End(t.Context(), ledger.Answered, ledger.Answer{Status: 201}))
+	if found, _, _ := a.Find(t.Context(), "k"); found.Answer.Status != 201 {
+		t.Errorf("%+v", found)
+	}
+}
+
 // Many at once share entries of the log, each by its own compare: one that fails takes no other with it.
 func TestGroupCommit(t *testing.T) {
 	endpoint, _ := node(t)
