--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run demo lab measure check help
+.PHONY: build test lint run demo lab lab-work measure check help
 
 help: ## this list
 	@sed -n 's/^\([a-z]*\):.*## /\1\t/p' Makefile
@@ -26,8 +26,12 @@
 lab: build ## COUNT seeded schedules of faults over five processes each, from SEED on
 	bin/sumalab run --seed $(SEED) --count $(COUNT) --parallel $(PARALLEL)
 
-measure: build ## changes of policy under load, healthy and with a router or the store's leader gone
-	bin/sumalab measure
+lab-work: build ## the same for work in hand: COUNT schedules of about a thousand filings each
+	bin/sumalab work --seed $(SEED) --count $(COUNT) --parallel 2
+
+measure: build ## changes of policy under load, and what writing work down costs
+	bin/sumalab lab-work measure
+	bin/sumalab lab-work measure-work
 
 check: ## what CI runs
 	bash .ci/run
