--- a/cmd/sumacloft/store.go
+++ b/cmd/sumacloft/store.go
@@ -88,10 +88,8 @@
 }
 
 func fillOnce(ctx context.Context, kv *etcd.Client, cfg config.Operator) error {
-	end := []byte(cfg.Members.Prefix)
-	end[len(end)-1]++
-	resp, err := kv.Range(ctx, &pb.RangeRequest{Key: []byte(cfg.Members.Prefix), RangeEnd: end, CountOnly: true})
-	if err != nil || resp.Count > 0 {
+	resp, err := kv.Range(ctx, etcd.Under(cfg.Members.Prefix, false))
+	if err != nil || len(resp.Kvs) > 0 {
 		return err
 	}
 	txn := &pb.TxnRequest{}
@@ -100,9 +98,9 @@
 		if err != nil {
 			return err
 		}
-		key := []byte(cfg.Members.Prefix + m.ID)
-		txn.Compare = append(txn.Compare, &pb.Compare{Key: key, Target: pb.Compare_MOD, TargetUnion: &pb.Compare_ModRevision{}})
-		txn.Success = append(txn.Success, &pb.RequestOp{Request: &pb.RequestOp_RequestPut{RequestPut: &pb.PutRequest{Key: key, Value: value}}})
+		key := cfg.Members.Prefix + m.ID
+		txn.Compare = append(txn.Compare, etcd.At(key, 0))
+		txn.Success = append(txn.Success, etcd.Put(key, value, 0))
 	}
 	if len(txn.Success) > 0 {
 		_, err = kv.Txn(ctx, txn) // another daemon that was first has written the same
--- a/cmd/sumactl/main_test.go
+++ b/cmd/sumactl/main_test.go
@@ -3,38 +3,14 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 
-	"google.golang.org/grpc"
-
-	"sumacloft/internal/etcd"
-	"sumacloft/internal/standin"
-	"sumacloft/internal/store"
+	"sumacloft/internal/etcd/etcdtest"
 )
 
-// serve serves a store of one node.
-func serve(t *testing.T) (endpoint string) {
-	raft, client := standin.Listen(t), standin.Listen(t)
-	p := store.Peer{ID: "one", Raft: raft.Addr().String(), Client: client.Addr().String()}
-	_ = raft.Close() // the node opens it again
-	n, err := store.Open(store.Options{Self: p, Peers: []store.Peer{p}, Log: io.Discard, Heartbeat: 60 * time.Millisecond})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = n.Close() })
-	server := grpc.NewServer()
-	etcd.Register(server, n, map[string]string{"old": "apply a policy"})
-	go func() { _ = server.Serve(client) }()
-	t.Cleanup(server.Stop)
-	standin.Eventually(t, 5*time.Second, "the node leads", func() bool { return n.Leads() && n.Fresh() == nil })
-	return p.Client
-}
-
 // The commands as a user types them, against a node of the store: some by an endpoint list whose first is dead, and
 // with the flags spelled as they once were.
 func TestCommands(t *testing.T) {
@@ -48,7 +24,7 @@
 	}
 	class := "[[chat.class]]\nname = \"q\"\neffect = \"safe\"\ndeadline_ms = 2000\n"
 	good, typo, twice := write("good.toml", class), write("typo.toml", class+"dead_line = 3\n"), write("twice.toml", class+class)
-	endpoint := serve(t)
+	endpoint, _ := etcdtest.Serve(t, map[string]string{"old": "apply a policy"})
 	for _, c := range []struct {
 		line, in, out, notes string
 		code                 int
--- a/cmd/sumactl/members.go
+++ b/cmd/sumactl/members.go
@@ -8,6 +8,7 @@
 	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
 
 	"sumacloft/internal/discovery"
+	"sumacloft/internal/etcd"
 )
 
 type getLine struct {
@@ -47,7 +48,7 @@
 	}
 	ctx, done := c.call()
 	defer done()
-	_, err := c.store.Txn(ctx, &pb.TxnRequest{Success: []*pb.RequestOp{{Request: &pb.RequestOp_RequestPut{RequestPut: &pb.PutRequest{Key: []byte(l.Key), Value: data}}}}})
+	_, err := c.store.Txn(ctx, &pb.TxnRequest{Success: []*pb.RequestOp{etcd.Put(l.Key, data, 0)}})
 	return err
 }
 
@@ -61,26 +62,20 @@
 func (c *ctl) del(key string) error {
 	ctx, done := c.call()
 	defer done()
-	r, err := c.store.Txn(ctx, &pb.TxnRequest{Success: []*pb.RequestOp{{Request: &pb.RequestOp_RequestDeleteRange{RequestDeleteRange: &pb.DeleteRangeRequest{Key: []byte(key)}}}}})
+	r, err := c.store.Txn(ctx, &pb.TxnRequest{Success: []*pb.RequestOp{etcd.Del(key)}})
 	if err == nil && r.Responses[0].GetResponseDeleteRange().Deleted == 0 {
 		err = fmt.Errorf("%s: not there", key)
 	}
 	return err
 }
 
-func (c *ctl) members() *pb.RangeRequest {
-	end := []byte(c.prefix)
-	end[len(end)-1]++
-	return &pb.RangeRequest{Key: []byte(c.prefix), RangeEnd: end}
-}
-
 type membersLine struct{}
 
 // Run lists the members.
 func (l *membersLine) Run(c *ctl) error {
 	ctx, done := c.call()
 	defer done()
-	r, err := c.store.Range(ctx, c.members())
+	r, err := c.store.Range(ctx, etcd.Under(c.prefix, false))
 	if err != nil {
 		return err
 	}
@@ -149,8 +144,7 @@
 		return err
 	}
 	t, err := c.store.Txn(ctx, &pb.TxnRequest{
-		Compare: []*pb.Compare{{Key: key, Target: pb.Compare_MOD, TargetUnion: &pb.Compare_ModRevision{ModRevision: read}}},
-		Success: []*pb.RequestOp{{Request: &pb.RequestOp_RequestPut{RequestPut: &pb.PutRequest{Key: key, Value: value}}}}})
+		Compare: []*pb.Compare{etcd.At(string(key), read)}, Success: []*pb.RequestOp{etcd.Put(string(key), value, 0)}})
 	if err == nil && !t.Succeeded {
 		err = fmt.Errorf("%s: changed by someone else meanwhile, look again", key)
 	}
@@ -165,7 +159,7 @@
 	if err != nil {
 		return err
 	}
-	r := c.members()
+	r := etcd.Under(c.prefix, false)
 	err = s.Send(&pb.WatchRequest{RequestUnion: &pb.WatchRequest_CreateRequest{CreateRequest: &pb.WatchCreateRequest{Key: r.Key, RangeEnd: r.RangeEnd}}})
 	if err != nil {
 		return err
--- a/cmd/sumalab/main.go
+++ b/cmd/sumalab/main.go
@@ -88,45 +88,54 @@
 	}
 }
 
-// Run runs schedules side by side.
-func (l *runLine) Run(ctx context.Context, out io.Writer) error {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	total := summary{Faults: map[string]int{}}
+// many carries out the schedules of seeds that follow one another, some at once, and has done told of each, one after the
+// other.
+func many[R any](ctx context.Context, seed uint64, count, parallel int, carry func(seed uint64) (R, error), done func(uint64, R, error)) {
 	var mu sync.Mutex
-	var wg sync.WaitGroup
-	places := make(chan struct{}, max(l.Parallel, 1))
-	for i := range l.Count {
+	var all sync.WaitGroup
+	places := make(chan struct{}, max(parallel, 1))
+	for i := range uint64(count) {
 		places <- struct{}{}
 		if ctx.Err() != nil {
 			break
 		}
-		wg.Add(1)
+		all.Add(1)
 		go func() {
-			defer func() { <-places; wg.Done() }()
-			s := lab.Draw(l.Seed+uint64(i), l.Daemons)
-			rep, err := l.carry(ctx, s)
+			defer func() { <-places; all.Done() }()
+			rep, err := carry(seed + i)
 			mu.Lock()
 			defer mu.Unlock()
 			if ctx.Err() != nil {
 				return
 			}
 			if err != nil {
-				total.Failed++
-				fmt.Fprintf(os.Stderr, "seed %d: the laboratory failed: %v\n", s.Seed, err)
-				return
-			}
-			total.add(rep)
-			for _, v := range rep.Violations {
-				fmt.Fprintf(os.Stderr, "seed %d: VIOLATION: %s\n", s.Seed, v)
+				fmt.Fprintf(os.Stderr, "seed %d: the laboratory failed: %v\n", seed+i, err)
 			}
-			if len(rep.Violations) > 0 && l.First {
-				stop()
-			}
-			fmt.Fprintf(os.Stderr, "%d of %d: seed %d in %.1f s, %d changes (%d committed), %d requests\n", total.Ran+total.Failed, l.Count, s.Seed, rep.Took.Seconds(), rep.Proposed, rep.Committed, rep.Requests)
+			done(seed+i, rep, err)
 		}()
 	}
-	wg.Wait()
+	all.Wait()
+}
+
+// Run runs schedules side by side.
+func (l *runLine) Run(ctx context.Context, out io.Writer) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	total := summary{Faults: map[string]int{}}
+	many(ctx, l.Seed, l.Count, l.Parallel, func(seed uint64) (lab.Report, error) { return l.carry(ctx, lab.Draw(seed, l.Daemons)) }, func(seed uint64, rep lab.Report, err error) {
+		if err != nil {
+			total.Failed++
+			return
+		}
+		total.add(rep)
+		for _, v := range rep.Violations {
+			fmt.Fprintf(os.Stderr, "seed %d: VIOLATION: %s\n", seed, v)
+		}
+		if len(rep.Violations) > 0 && l.First {
+			stop()
+		}
+		fmt.Fprintf(os.Stderr, "%d of %d: seed %d in %.1f s, %d changes (%d committed), %d requests\n", total.Ran+total.Failed, l.Count, seed, rep.Took.Seconds(), rep.Proposed, rep.Committed, rep.Requests)
+	})
 	slices.Sort(total.Seeds)
 	if err := l.show(out, total, fmt.Sprintf("%d schedules over %d daemons, %d with violations %v, %d that the laboratory failed at\n%d changes: %d committed, %d aborted, %d rejected\n%d requests under a version, %d refused, %d without an answer\nfaults: %v\n",
 		total.Ran, l.Daemons, total.Violations, total.Seeds, total.Failed, total.Proposed, total.Committed, total.Aborted, total.Rejected, total.Requests, total.Refused, total.Lost, total.Faults)); err != nil {
@@ -245,55 +254,43 @@
 	Faults     map[string]int `json:"faults"`
 }
 
+func (s *worked) add(r lab.WorkReport) {
+	s.Ran++
+	s.Requests, s.Filings, s.Answered = s.Requests+r.Requests, s.Filings+r.Filings, s.Answered+r.Answered
+	s.Unknown, s.Repeats = s.Unknown+r.Unknown, s.Repeats+r.Repeats
+	for _, f := range r.Faults {
+		s.Faults[f]++
+	}
+	if len(r.Violations) > 0 {
+		s.Violations++
+		s.Seeds = append(s.Seeds, r.Seed)
+	}
+}
+
 // Run runs schedules side by side.
 func (l *workLine) Run(ctx context.Context, out io.Writer) error {
 	total := worked{Faults: map[string]int{}}
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	places := make(chan struct{}, max(l.Parallel, 1))
-	for i := range l.Count {
-		places <- struct{}{}
-		if ctx.Err() != nil {
-			break
-		}
-		wg.Add(1)
-		go func() {
-			defer func() { <-places; wg.Done() }()
-			s := lab.DrawWork(l.Seed+uint64(i), l.Daemons)
-			rep, err := inFolder(ctx, l.common, s, func(o lab.Options) (lab.WorkReport, []string, error) {
-				counter := lab.NewCounter(s.Seed)
-				counter.Quick = l.Quick
-				o.Clients, o.Answers = l.Clients, counter
-				rep, err := lab.CarryWork(ctx, s, o)
-				return rep, rep.Violations, err
-			})
-			mu.Lock()
-			defer mu.Unlock()
-			if ctx.Err() != nil {
-				return
-			}
-			if err != nil {
-				total.Failed++
-				fmt.Fprintf(os.Stderr, "seed %d: the laboratory failed: %v\n", s.Seed, err)
-				return
-			}
-			total.Ran++
-			total.Requests, total.Filings, total.Answered = total.Requests+rep.Requests, total.Filings+rep.Filings, total.Answered+rep.Answered
-			total.Unknown, total.Repeats = total.Unknown+rep.Unknown, total.Repeats+rep.Repeats
-			for _, f := range rep.Faults {
-				total.Faults[f]++
-			}
-			if len(rep.Violations) > 0 {
-				total.Violations++
-				total.Seeds = append(total.Seeds, s.Seed)
-			}
-			for _, v := range rep.Violations[:min(len(rep.Violations), 5)] {
-				fmt.Fprintf(os.Stderr, "seed %d: VIOLATION: %s\n", s.Seed, v)
-			}
-			fmt.Fprintf(os.Stderr, "%d of %d: seed %d in %.1f s, %d requests, %d filings so far\n", total.Ran+total.Failed, l.Count, s.Seed, rep.Took.Seconds(), rep.Requests, total.Filings)
-		}()
+	carry := func(seed uint64) (lab.WorkReport, error) {
+		s := lab.DrawWork(seed, l.Daemons)
+		return inFolder(ctx, l.common, s, func(o lab.Options) (lab.WorkReport, []string, error) {
+			counter := lab.NewCounter(seed)
+			counter.Quick = l.Quick
+			o.Clients, o.Answers = l.Clients, counter
+			rep, err := lab.CarryWork(ctx, s, o)
+			return rep, rep.Violations, err
+		})
 	}
-	wg.Wait()
+	many(ctx, l.Seed, l.Count, l.Parallel, carry, func(seed uint64, rep lab.WorkReport, err error) {
+		if err != nil {
+			total.Failed++
+			return
+		}
+		total.add(rep)
+		for _, v := range rep.Violations[:min(len(rep.Violations), 5)] {
+			fmt.Fprintf(os.Stderr, "seed %d: VIOLATION: %s\n", seed, v)
+		}
+		fmt.Fprintf(os.Stderr, "%d of %d: seed %d in %.1f s, %d requests, %d filings so far\n", total.Ran+total.Failed, l.Count, seed, rep.Took.Seconds(), rep.Requests, total.Filings)
+	})
 	slices.Sort(total.Seeds)
 	if err := l.show(out, total, fmt.Sprintf("%d schedules over %d daemons, %d with violations %v, %d that the laboratory failed at\n%d requests, %d of them filings: %d answered, %d settled as unknown; clients came again %d times\nfaults: %v\n",
 		total.Ran, l.Daemons, total.Violations, total.Seeds, total.Failed, total.Requests, total.Filings, total.Answered, total.Unknown, total.Repeats, total.Faults)); err != nil {
--- a/internal/chat/flight_test.go
+++ b/internal/chat/flight_test.go
@@ -11,37 +11,16 @@
 	"testing"
 	"time"
 
-	"google.golang.org/grpc"
-
 	"sumacloft/brain"
 	"sumacloft/internal/config"
 	"sumacloft/internal/core"
-	"sumacloft/internal/etcd"
+	"sumacloft/internal/etcd/etcdtest"
 	"sumacloft/internal/ledger"
 	"sumacloft/internal/standin"
-	"sumacloft/internal/store"
 	"sumacloft/internal/upstream"
 	"sumacloft/internal/work"
 )
 
-// bookstore serves a store of one node; stop ends it.
-func bookstore(t *testing.T) (endpoint string, stop func()) {
-	raft, client := standin.Listen(t), standin.Listen(t)
-	p := store.Peer{ID: "one", Raft: raft.Addr().String(), Client: client.Addr().String()}
-	_ = raft.Close() // the node opens it again
-	n, err := store.Open(store.Options{Self: p, Peers: []store.Peer{p}, Log: io.Discard, Heartbeat: 60 * time.Millisecond})
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := grpc.NewServer()
-	etcd.Register(server, n, nil)
-	go func() { _ = server.Serve(client) }()
-	stop = func() { server.Stop(); _ = n.Close() }
-	t.Cleanup(stop)
-	standin.Eventually(t, 5*time.Second, "the node leads", func() bool { return n.Leads() && n.Fresh() == nil })
-	return p.Client, stop
-}
-
 // hands starts a router whose classes have handover, over servers at the addresses.
 func hands(t *testing.T, endpoint, name string, serve bool, addrs ...string) (addr string, h *Handover) {
 	set := set(addrs...)
@@ -101,7 +80,7 @@
 // One key, at two routers, at once and again: the server runs it once, and all get the same answer; another body is
 // refused. What the server gets bears the client's key and the epoch.
 func TestOneKeyRunsOnce(t *testing.T) {
-	endpoint, _ := bookstore(t)
+	endpoint, _ := etcdtest.Serve(t, nil)
 	var runs atomic.Int64
 	go1 := make(chan struct{})
 	server := standin.HTTP(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
@@ -144,7 +123,7 @@
 
 // A filing whose outcome can't be told is settled so, and stays that for its key; one that never ran leaves no trace.
 func TestOutcomesOfFilings(t *testing.T) {
-	endpoint, _ := bookstore(t)
+	endpoint, _ := etcdtest.Serve(t, nil)
 	var broke, turns atomic.Int64
 	server := standin.HTTP(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		body, _ := io.ReadAll(req.Body)
@@ -181,7 +160,7 @@
 
 // A stream's closing event comes only once its end is written down: while the store is away it is cut, not closed.
 func TestStreamsEndIsWrittenFirst(t *testing.T) {
-	endpoint, stop := bookstore(t)
+	endpoint, stop := etcdtest.Serve(t, nil)
 	away := make(chan struct{})
 	server := standin.HTTP(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if req.URL.Path == "/health" {
--- a/internal/etcd/lease.go
+++ b/internal/etcd/lease.go
@@ -79,13 +79,9 @@
 // LeaseTimeToLive serves pb.LeaseServer by the leader's clock, which is the one that ends leases.
 func (s *Server) LeaseTimeToLive(ctx context.Context, r *pb.LeaseTimeToLiveRequest) (*pb.LeaseTimeToLiveResponse, error) {
 	if !s.node.Leads() || s.node.Fresh() != nil {
-		conn, ctx, err := s.leader(ctx)
-		if err != nil {
-			return nil, err
-		}
-		ctx, cancel := context.WithTimeout(ctx, forwardLimit)
-		defer cancel()
-		return pb.NewLeaseClient(conn).LeaseTimeToLive(ctx, r)
+		return passOn(ctx, s, func(ctx context.Context, conn *grpc.ClientConn) (*pb.LeaseTimeToLiveResponse, error) {
+			return pb.NewLeaseClient(conn).LeaseTimeToLive(ctx, r)
+		})
 	}
 	l, known := s.node.Lease(r.ID)
 	out := &pb.LeaseTimeToLiveResponse{Header: s.header(s.node.Revision()), ID: r.ID, TTL: -1}
--- a/internal/etcd/server.go
+++ b/internal/etcd/server.go
@@ -90,6 +90,17 @@
 	return s.conn, metadata.AppendToOutgoingContext(ctx, forwarded, "1"), nil
 }
 
+// passOn has the leader answer a call.
+func passOn[R any](ctx context.Context, s *Server, forward func(context.Context, *grpc.ClientConn) (R, error)) (none R, err error) {
+	conn, ctx, err := s.leader(ctx)
+	if err != nil {
+		return none, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardLimit)
+	defer cancel()
+	return forward(ctx, conn)
+}
+
 // propose has the cluster agree, here or through the leader. What went out to a leader is not sent again.
 func propose[R any](ctx context.Context, s *Server, req *pb.InternalRaftRequest, forward func(context.Context, *grpc.ClientConn) (R, error)) (R, error) {
 	var none R
@@ -98,13 +109,7 @@
 	case err == nil:
 		return out.(R), nil
 	case errors.Is(err, store.ErrNotLeader):
-		conn, ctx, err := s.leader(ctx)
-		if err != nil {
-			return none, err
-		}
-		ctx, cancel := context.WithTimeout(ctx, forwardLimit)
-		defer cancel()
-		return forward(ctx, conn)
+		return passOn(ctx, s, forward)
 	}
 	if fault := faults[err]; fault != nil {
 		return none, fault
@@ -230,13 +235,9 @@
 	}
 	if !r.Serializable {
 		if !s.node.Leads() || s.node.Fresh() != nil {
-			conn, ctx, err := s.leader(ctx)
-			if err != nil {
-				return nil, err
-			}
-			ctx, cancel := context.WithTimeout(ctx, forwardLimit)
-			defer cancel()
-			return pb.NewKVClient(conn).Range(ctx, r)
+			return passOn(ctx, s, func(ctx context.Context, conn *grpc.ClientConn) (*pb.RangeResponse, error) {
+				return pb.NewKVClient(conn).Range(ctx, r)
+			})
 		}
 	}
 	pairs, rev, err := s.node.Range(r.Key, r.RangeEnd, r.Revision)
--- a/internal/lab/measurework.go
+++ b/internal/lab/measurework.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
 
 	"sumacloft/internal/work"
 )
@@ -175,7 +174,9 @@
 	}
 	other := f.Daemons[1]
 	count := func() int {
-		r, err := other.Ask(ctx, &pb.RangeRequest{Key: work.List(true, false).Key, RangeEnd: work.List(true, false).RangeEnd, Serializable: true, CountOnly: true})
+		ask := work.List(true, false)
+		ask.CountOnly = true
+		r, err := other.Ask(ctx, ask)
 		if err != nil {
 			return -1
 		}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -106,16 +106,7 @@
 		loading.Add(1)
 		go func() { defer loading.Done(); r.client(load, i) }()
 	}
-	for _, step := range s.Steps {
-		select {
-		case <-ctx.Done():
-		case <-time.After(step.After): // a step's place in the traffic, not a wait for something to happen
-		}
-		if err := r.do(step.Do); err != nil {
-			return rep, fmt.Errorf("%v: %w", step, err)
-		}
-	}
-	err = r.settle()
+	err = r.carry(s)
 	stop()
 	loading.Wait()
 	if err != nil {
@@ -126,6 +117,20 @@
 	return rep, ctx.Err()
 }
 
+// carry does all steps, then mends what is broken.
+func (r *run) carry(s Schedule) error {
+	for _, step := range s.Steps {
+		select {
+		case <-r.ctx.Done():
+		case <-time.After(step.After): // a step's place in the traffic, not a wait for something to happen
+		}
+		if err := r.do(step.Do); err != nil {
+			return fmt.Errorf("%v: %w", step, err)
+		}
+	}
+	return r.settle()
+}
+
 func (r *run) since() time.Duration { return time.Since(r.began) }
 
 // client asks one daemon after the other, and notes the version of each answer.
@@ -367,8 +372,7 @@
 		if err != nil {
 			return err
 		}
-		txn.Success = append(txn.Success, &pb.RequestOp{Request: &pb.RequestOp_RequestPut{RequestPut: &pb.PutRequest{
-			Key: []byte("/sumacloft/members/" + d.Name + "/" + serverName(i)), Value: value}}})
+		txn.Success = append(txn.Success, etcd.Put("/sumacloft/members/"+d.Name+"/"+serverName(i), value, 0))
 	}
 	_, err = client.Txn(ctx, txn)
 	return err
--- a/internal/lab/work.go
+++ b/internal/lab/work.go
@@ -247,16 +247,7 @@
 		loading.Add(1)
 		go func() { defer loading.Done(); w.client(load, ctx, s.Seed, i) }()
 	}
-	for _, step := range s.Steps {
-		select {
-		case <-ctx.Done():
-		case <-time.After(step.After):
-		}
-		if err := r.do(step.Do); err != nil {
-			return rep, fmt.Errorf("%v: %w", step, err)
-		}
-	}
-	if err := r.settle(); err != nil {
+	if err := r.carry(s); err != nil {
 		return rep, err
 	}
 	stop() // no new requests; those that are asked are asked to their end
--- a/internal/policy/agent.go
+++ b/internal/policy/agent.go
@@ -226,7 +226,7 @@
 	if a.o.OnLapse == rollout.Keep {
 		ops = []*pb.RequestOp{put(routers+a.o.Name, me, 0), put(alive+a.o.Name, a.boot, id)}
 	}
-	r, err := a.store.Txn(ctx, &pb.TxnRequest{Compare: []*pb.Compare{at(routers+a.o.Name, old.Rev)}, Success: append(ops, reading(liveRange(false)))})
+	r, err := a.store.Txn(ctx, &pb.TxnRequest{Compare: []*pb.Compare{etcd.At(routers+a.o.Name, old.Rev)}, Success: append(ops, etcd.Get(etcd.Under(live, false)))})
 	switch {
 	case err != nil:
 		return v, fmt.Errorf("store: %w", err)
@@ -323,7 +323,7 @@
 		return again, nil
 	}
 	if s.Ack != nil {
-		r, err := a.store.Txn(ctx, &pb.TxnRequest{Compare: []*pb.Compare{at(routers+a.o.Name, a.reg)}, Success: []*pb.RequestOp{put(acks+a.o.Name, *s.Ack, 0)}})
+		r, err := a.store.Txn(ctx, &pb.TxnRequest{Compare: []*pb.Compare{etcd.At(routers+a.o.Name, a.reg)}, Success: []*pb.RequestOp{put(acks+a.o.Name, *s.Ack, 0)}})
 		if err != nil {
 			return again, nil
 		}
@@ -444,8 +444,8 @@
 			return // it stands as long as the registration does
 		}
 	}
-	_, err := a.store.Txn(ctx, &pb.TxnRequest{Compare: []*pb.Compare{at(routers+a.o.Name, a.reg)},
-		Success: []*pb.RequestOp{del(routers + a.o.Name), del(alive + a.o.Name), del(acks + a.o.Name)}})
+	_, err := a.store.Txn(ctx, &pb.TxnRequest{Compare: []*pb.Compare{etcd.At(routers+a.o.Name, a.reg)},
+		Success: []*pb.RequestOp{etcd.Del(routers + a.o.Name), etcd.Del(alive + a.o.Name), etcd.Del(acks + a.o.Name)}})
 	if err != nil {
 		a.o.Log.WithError(err).Warn("policy: the registration was not taken back; it ends with its lease")
 	}
--- a/internal/policy/agent_test.go
+++ b/internal/policy/agent_test.go
@@ -4,37 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"strings"
 	"testing"
 	"time"
 
-	"google.golang.org/grpc"
-
 	"sumacloft/internal/etcd"
+	"sumacloft/internal/etcd/etcdtest"
 	"sumacloft/internal/rollout"
 	"sumacloft/internal/standin"
-	"sumacloft/internal/store"
 )
 
-// node serves a store of one node; stop ends it.
-func node(t *testing.T) (endpoint string, stop func()) {
-	raft, client := standin.Listen(t), standin.Listen(t)
-	p := store.Peer{ID: "one", Raft: raft.Addr().String(), Client: client.Addr().String()}
-	_ = raft.Close() // the node opens it again
-	n, err := store.Open(store.Options{Self: p, Peers: []store.Peer{p}, Log: io.Discard, Heartbeat: 60 * time.Millisecond})
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := grpc.NewServer()
-	etcd.Register(server, n, nil)
-	go func() { _ = server.Serve(client) }()
-	stop = func() { server.Stop(); _ = n.Close() }
-	t.Cleanup(stop)
-	standin.Eventually(t, 5*time.Second, "the node leads", func() bool { return n.Leads() && n.Fresh() == nil })
-	return p.Client, stop
-}
-
 // router runs an agent whose terms are the policy's text. stop ends it in good order.
 func router(t *testing.T, endpoint, name string, change func(*Options[string])) (a *Agent[string], stop func()) {
 	t.Helper()
@@ -110,7 +89,7 @@
 
 // Two daemons of one name: the second is not ready until the first is gone, and then takes its place.
 func TestTwoOfOneName(t *testing.T) {
-	endpoint, _ := node(t)
+	endpoint, _ := etcdtest.Serve(t, nil)
 	one, stop := router(t, endpoint, "r", nil)
 	eventually(t, one, "first")
 	two, _ := router(t, endpoint, "r", nil)
@@ -126,7 +105,7 @@
 // A restart within the lease: with its directory a router is back at once, since the lock tells that its old self is
 // gone; without one it waits for the lease. A second process on one directory is refused.
 func TestRestartWithinLease(t *testing.T) {
-	endpoint, _ := node(t)
+	endpoint, _ := etcdtest.Serve(t, nil)
 	dir := t.TempDir()
 	here := func(o *Options[string]) { o.Dir, o.Lease, o.Margin = dir, 60*time.Second, time.Second }
 	one, stop := router(t, endpoint, "r", here)
@@ -142,7 +121,7 @@
 
 // What a change needs of each router, and what it does with one that can't carry it.
 func TestChange(t *testing.T) {
-	endpoint, _ := node(t)
+	endpoint, _ := etcdtest.Serve(t, nil)
 	a, _ := router(t, endpoint, "a", nil)
 	b, stop := router(t, endpoint, "b", nil)
 	eventually(t, a, "first")
@@ -171,7 +150,7 @@
 // A router that serves on without the store: a change waits for it and is aborted, unless it is declared gone; when
 // it is started while the store is away it serves from its copy, but not once it had prepared a change.
 func TestKeep(t *testing.T) {
-	endpoint, _ := node(t)
+	endpoint, _ := etcdtest.Serve(t, nil)
 	dir := t.TempDir()
 	keeps := func(o *Options[string]) { o.Dir, o.OnLapse = dir, rollout.Keep }
 	a, _ := router(t, endpoint, "a", nil)
@@ -240,7 +219,7 @@
 
 // A proposal whose answer was lost: asking for its outcome fences it off, so that it can't come to pass later.
 func TestOutcomeFences(t *testing.T) {
-	endpoint, _ := node(t)
+	endpoint, _ := etcdtest.Serve(t, nil)
 	client, err := etcd.NewClient([]string{endpoint})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/policy/records.go
+++ b/internal/policy/records.go
@@ -79,15 +79,9 @@
 	return v, nil
 }
 
-func liveRange(serializable bool) *pb.RangeRequest {
-	end := []byte(live)
-	end[len(end)-1]++
-	return &pb.RangeRequest{Key: []byte(live), RangeEnd: end, Serializable: serializable}
-}
-
 // View reads what is alive; it is no older than the call.
 func (s Store) View(ctx context.Context) (rollout.View, error) {
-	r, err := s.Range(ctx, liveRange(false))
+	r, err := s.Range(ctx, etcd.Under(live, false))
 	if err != nil {
 		return rollout.View{}, err
 	}
@@ -98,7 +92,7 @@
 func (s Store) copyView(ctx context.Context, endpoint int) (rollout.View, error) {
 	ctx, done := context.WithTimeout(ctx, callLimit)
 	defer done()
-	r, err := pb.NewKVClient(s.Conn(endpoint)).Range(ctx, liveRange(true))
+	r, err := pb.NewKVClient(s.Conn(endpoint)).Range(ctx, etcd.Under(live, true))
 	if err != nil {
 		return rollout.View{}, err
 	}
@@ -112,7 +106,7 @@
 
 // Copy reads what is alive from the copy that one node has, which may be behind.
 func Copy(ctx context.Context, from Asked) (rollout.View, error) {
-	r, err := from.Ask(ctx, liveRange(true))
+	r, err := from.Ask(ctx, etcd.Under(live, true))
 	if err != nil {
 		return rollout.View{}, err
 	}
@@ -127,20 +121,7 @@
 	if err != nil {
 		panic(err) // records are plain structs
 	}
-	return &pb.RequestOp{Request: &pb.RequestOp_RequestPut{RequestPut: &pb.PutRequest{Key: []byte(key), Value: data, Lease: lease}}}
-}
-
-func del(key string) *pb.RequestOp {
-	return &pb.RequestOp{Request: &pb.RequestOp_RequestDeleteRange{RequestDeleteRange: &pb.DeleteRangeRequest{Key: []byte(key)}}}
-}
-
-// at holds while a key was last written at a revision, 0 for one that is not there.
-func at(key string, revision int64) *pb.Compare {
-	return &pb.Compare{Key: []byte(key), Target: pb.Compare_MOD, TargetUnion: &pb.Compare_ModRevision{ModRevision: revision}}
-}
-
-func reading(r *pb.RangeRequest) *pb.RequestOp {
-	return &pb.RequestOp{Request: &pb.RequestOp_RequestRange{RequestRange: r}}
+	return etcd.Put(key, data, lease)
 }
 
 // move writes the next record of a change in the place of the one at a revision; false says that another was
@@ -149,19 +130,19 @@
 	ops := []*pb.RequestOp{put(changeKey, next, 0)}
 	if next.Phase == rollout.Committed {
 		made := next.Result()
-		ops = append(ops, put(currentKey, made, 0), put(numbered(versions, made.Version), made, 0), del(numbered(versions, made.Version-kept)))
+		ops = append(ops, put(currentKey, made, 0), put(numbered(versions, made.Version), made, 0), etcd.Del(numbered(versions, made.Version-kept)))
 	}
 	if next.Phase.Over() {
-		ops = append(ops, put(numbered(history, next.Seq), next, 0), del(numbered(history, next.Seq-kept)))
+		ops = append(ops, put(numbered(history, next.Seq), next, 0), etcd.Del(numbered(history, next.Seq-kept)))
 	}
-	r, err := s.Txn(ctx, &pb.TxnRequest{Compare: []*pb.Compare{at(changeKey, from)}, Success: ops})
+	r, err := s.Txn(ctx, &pb.TxnRequest{Compare: []*pb.Compare{etcd.At(changeKey, from)}, Success: ops})
 	return err == nil && r.Succeeded, err
 }
 
 // seed writes the first version, unless there is one.
 func (s Store) seed(ctx context.Context, text, by string) error {
 	first := rollout.Version{Version: 1, Text: text, By: by, At: stamp(), Note: "the first, from a router's own file"}
-	_, err := s.Txn(ctx, &pb.TxnRequest{Compare: []*pb.Compare{at(currentKey, 0)},
+	_, err := s.Txn(ctx, &pb.TxnRequest{Compare: []*pb.Compare{etcd.At(currentKey, 0)},
 		Success: []*pb.RequestOp{put(currentKey, first, 0), put(numbered(versions, 1), first, 0)}})
 	return err
 }
@@ -190,7 +171,7 @@
 	if running != nil {
 		return "", &Running{*running}
 	}
-	r, err := s.Txn(ctx, &pb.TxnRequest{Compare: []*pb.Compare{at(changeKey, from)}, Success: []*pb.RequestOp{put(changeKey, c, 0)}})
+	r, err := s.Txn(ctx, &pb.TxnRequest{Compare: []*pb.Compare{etcd.At(changeKey, from)}, Success: []*pb.RequestOp{put(changeKey, c, 0)}})
 	if err == nil && !r.Succeeded {
 		return "", ErrElsewhere
 	}
@@ -245,9 +226,7 @@
 func unreachable(err error) bool { return !errors.Is(err, ErrNoChange) }
 
 func (s Store) all(ctx context.Context, prefix string, each func(*mvccpb.KeyValue) error) error {
-	end := []byte(prefix)
-	end[len(end)-1]++
-	r, err := s.Range(ctx, &pb.RangeRequest{Key: []byte(prefix), RangeEnd: end})
+	r, err := s.Range(ctx, etcd.Under(prefix, false))
 	if err != nil {
 		return err
 	}
@@ -304,8 +283,8 @@
 	case r.Lease != 0:
 		return fmt.Errorf("router %q is alive: stop it first", name)
 	}
-	t, err := s.Txn(ctx, &pb.TxnRequest{Compare: []*pb.Compare{at(routers+name, r.Rev), at(alive+name, 0)},
-		Success: []*pb.RequestOp{del(routers + name), del(acks + name)}})
+	t, err := s.Txn(ctx, &pb.TxnRequest{Compare: []*pb.Compare{etcd.At(routers+name, r.Rev), etcd.At(alive+name, 0)},
+		Success: []*pb.RequestOp{etcd.Del(routers + name), etcd.Del(acks + name)}})
 	if err == nil && !t.Succeeded {
 		err = fmt.Errorf("router %q has just come back: look again", name)
 	}
--- a/internal/work/book.go
+++ b/internal/work/book.go
@@ -166,9 +166,8 @@
 func (b *Book) readSecret(ctx context.Context) (Secret, error) {
 	drawn := make([]byte, 32)
 	_, _ = rand.Read(drawn) // never fails
-	get := &pb.RequestOp{Request: &pb.RequestOp_RequestRange{RequestRange: &pb.RangeRequest{Key: []byte(secretKey)}}}
-	r, err := b.client.Txn(ctx, &pb.TxnRequest{Compare: []*pb.Compare{absent(secretKey)}, Failure: []*pb.RequestOp{get},
-		Success: []*pb.RequestOp{{Request: &pb.RequestOp_RequestPut{RequestPut: &pb.PutRequest{Key: []byte(secretKey), Value: drawn}}}}})
+	r, err := b.client.Txn(ctx, &pb.TxnRequest{Compare: []*pb.Compare{etcd.At(secretKey, 0)}, Failure: []*pb.RequestOp{get(secretKey)},
+		Success: []*pb.RequestOp{etcd.Put(secretKey, drawn, 0)}})
 	switch {
 	case err != nil:
 		return nil, err
@@ -231,11 +230,7 @@
 	return none, false, nil
 }
 
-func absent(key string) *pb.Compare { return at(key, 0) }
-
-func at(key string, rev int64) *pb.Compare {
-	return &pb.Compare{Key: []byte(key), Target: pb.Compare_MOD, TargetUnion: &pb.Compare_ModRevision{ModRevision: rev}}
-}
+func get(key string) *pb.RequestOp { return etcd.Get(&pb.RangeRequest{Key: []byte(key)}) }
 
 // Entry is one request in hand.
 type Entry struct {
@@ -365,19 +360,7 @@
 		return err
 	}
 	key := openKeys + next.Key
-	return e.change(ctx, next, len(data), []*pb.RequestOp{putOp(key, data, 0)})
-}
-
-func putOp(key string, data []byte, lease int64) *pb.RequestOp {
-	return &pb.RequestOp{Request: &pb.RequestOp_RequestPut{RequestPut: &pb.PutRequest{Key: []byte(key), Value: data, Lease: lease}}}
-}
-
-func delOp(key string) *pb.RequestOp {
-	return &pb.RequestOp{Request: &pb.RequestOp_RequestDeleteRange{RequestDeleteRange: &pb.DeleteRangeRequest{Key: []byte(key)}}}
-}
-
-func getOp(key string) *pb.RequestOp {
-	return &pb.RequestOp{Request: &pb.RequestOp_RequestRange{RequestRange: &pb.RangeRequest{Key: []byte(key)}}}
+	return e.change(ctx, next, len(data), []*pb.RequestOp{etcd.Put(key, data, 0)})
 }
 
 // change makes a change by a compare on the record as it was written last, and finds out whether it was made where the
@@ -385,8 +368,8 @@
 func (e *Entry) change(ctx context.Context, next ledger.Record, size int, ops []*pb.RequestOp) error {
 	key := next.Key
 	for {
-		txn := &pb.TxnRequest{Compare: []*pb.Compare{at(openKeys+key, e.rec.Rev), absent(doneKeys + key)}, Success: ops,
-			Failure: []*pb.RequestOp{getOp(openKeys + key), getOp(doneKeys + key)}}
+		txn := &pb.TxnRequest{Compare: []*pb.Compare{etcd.At(openKeys+key, e.rec.Rev), etcd.At(doneKeys+key, 0)}, Success: ops,
+			Failure: []*pb.RequestOp{get(openKeys + key), get(doneKeys + key)}}
 		if e.book.o.Broken == NoCompare {
 			txn.Compare = nil
 		}
@@ -460,9 +443,9 @@
 	e.book.mu.Lock()
 	lease := e.book.bucket.id
 	e.book.mu.Unlock()
-	ops := []*pb.RequestOp{putOp(doneKeys+next.Key, data, lease)}
+	ops := []*pb.RequestOp{etcd.Put(doneKeys+next.Key, data, lease)}
 	if e.rec.Rev > 0 {
-		ops = append(ops, delOp(openKeys+next.Key))
+		ops = append(ops, etcd.Del(openKeys+next.Key))
 	}
 	err = e.change(ctx, next, len(data), ops)
 	e.leave(err == nil)
@@ -482,7 +465,7 @@
 	}
 	gone := e.rec
 	gone.Step = ledger.Ended // with no outcome: it is nowhere
-	return e.change(ctx, gone, 0, []*pb.RequestOp{delOp(openKeys + gone.Key)})
+	return e.change(ctx, gone, 0, []*pb.RequestOp{etcd.Del(openKeys + gone.Key)})
 }
 
 // Free gives a request that waits to whoever comes first; it is written down if it was not.
--- a/internal/work/taker.go
+++ b/internal/work/taker.go
@@ -8,6 +8,7 @@
 
 	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
 
+	"sumacloft/internal/etcd"
 	"sumacloft/internal/ledger"
 )
 
@@ -94,7 +95,7 @@
 	case ledger.Drop:
 		gone := rec
 		gone.Step = ledger.Ended
-		err = e.change(call, gone, 0, []*pb.RequestOp{delOp(openKeys + rec.Key)})
+		err = e.change(call, gone, 0, []*pb.RequestOp{etcd.Del(openKeys + rec.Key)})
 		e.leave(false)
 	default:
 		e.leave(false)
@@ -121,7 +122,5 @@
 	if ended {
 		prefix = doneKeys
 	}
-	end := []byte(prefix)
-	end[len(end)-1]++
-	return &pb.RangeRequest{Key: []byte(prefix), RangeEnd: end, Serializable: copied}
+	return etcd.Under(prefix, copied)
 }
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -4,39 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"google.golang.org/grpc"
-
-	"sumacloft/internal/etcd"
+	"sumacloft/internal/etcd/etcdtest"
 	"sumacloft/internal/ledger"
 	"sumacloft/internal/standin"
-	"sumacloft/internal/store"
 )
 
-// node serves a store of one node.
-func node(t testing.TB) (endpoint string, stop func()) {
-	raft, client := standin.Listen(t), standin.Listen(t)
-	p := store.Peer{ID: "one", Raft: raft.Addr().String(), Client: client.Addr().String()}
-	_ = raft.Close() // the node opens it again
-	n, err := store.Open(store.Options{Self: p, Peers: []store.Peer{p}, Log: io.Discard, Heartbeat: 60 * time.Millisecond})
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := grpc.NewServer()
-	etcd.Register(server, n, nil)
-	go func() { _ = server.Serve(client) }()
-	stop = func() { server.Stop(); _ = n.Close() }
-	t.Cleanup(stop)
-	standin.Eventually(t, 5*time.Second, "the node leads", func() bool { return n.Leads() && n.Fresh() == nil })
-	return p.Client, stop
-}
-
 // desk is a book whose lease a test ends.
 type desk struct {
 	*Book
@@ -101,7 +79,7 @@
 
 // A request's life in one book: written before it is sent, ended before its client hears, kept, and found by others.
 func TestLife(t *testing.T) {
-	endpoint, _ := node(t)
+	endpoint, _ := etcdtest.Serve(t, nil)
 	a, b := open(t, endpoint, "a", nil), open(t, endpoint, "b", nil)
 	if a.Digest([]byte("x")) != b.Digest([]byte("x")) || a.Digest([]byte("xy"), nil) == a.Digest([]byte("x"), []byte("y")) {
 		t.Error("digests are the fleet's, and of each part")
@@ -152,7 +130,7 @@
 // A lost router's work goes by the table to whom it falls: what waited is run, a filing that was sent is settled, a
 // query is repeated; and its owner, when it comes back, can neither send nor end it.
 func TestTakeover(t *testing.T) {
-	endpoint, _ := node(t)
+	endpoint, _ := etcdtest.Serve(t, nil)
 	a, b := open(t, endpoint, "a", nil), open(t, endpoint, "b", nil)
 	waits, sent, query := taken(t, a, record("waits", ledger.Unsafe)), taken(t, a, record("sent", ledger.Unsafe)), taken(t, a, record("query", ledger.Safe))
 	must(t, waits.Wait(t.Context()))
@@ -206,7 +184,7 @@
 
 // What waits is freed at a router's end, and another takes it up at once, though its lease lasts.
 func TestFree(t *testing.T) {
-	endpoint, _ := node(t)
+	endpoint, _ := etcdtest.Serve(t, nil)
 	a, b := open(t, endpoint, "a", nil), open(t, endpoint, "b", nil)
 	e := taken(t, a, record("waits", ledger.Unsafe))
 	must(t, e.Free(t.Context()))
@@ -223,7 +201,7 @@
 
 // A store that is away: nothing is sent that can't be written down; and what a lost answer left behind is found again.
 func TestAway(t *testing.T) {
-	endpoint, stop := node(t)
+	endpoint, stop := etcdtest.Serve(t, nil)
 	a := open(t, endpoint, "a", nil)
 	e := taken(t, a, record("k", ledger.Unsafe))
 	stop()
@@ -240,7 +218,7 @@
 
 // A ledger that is full refuses, and has room again.
 func TestFull(t *testing.T) {
-	endpoint, _ := node(t)
+	endpoint, _ := etcdtest.Serve(t, nil)
 	a := open(t, endpoint, "a", func(o *Options) { o.Limits.Open = 2 })
 	e := taken(t, a, record("1", ledger.Safe))
 	taken(t, a, record("2", ledger.Safe))
@@ -253,7 +231,7 @@
 
 // A key whose time is over is as good as new.
 func TestExpiry(t *testing.T) {
-	endpoint, _ := node(t)
+	endpoint, _ := etcdtest.Serve(t, nil)
 	a := open(t, endpoint, "a", nil)
 	e := taken(t, a, record("k", ledger.Unsafe))
 	must(t, e.Sending(t.Context(), "s"))
@@ -281,7 +259,7 @@
 
 // Many at once share entries of the log, each by its own compare: one that fails takes no other with it.
 func TestGroupCommit(t *testing.T) {
-	endpoint, _ := node(t)
+	endpoint, _ := etcdtest.Serve(t, nil)
 	a, b := open(t, endpoint, "a", nil), open(t, endpoint, "b", nil)
 	for i := range 20 {
 		must(t, taken(t, b, record(fmt.Sprint("k", i*5), ledger.Unsafe)).Sending(t.Context(), "s"))
