--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -40,6 +40,9 @@
 	File string
 	// Classes are the classes of the first policy, as TOML; one safe class "query" if it is empty.
 	Classes string
+	// Calm has the store take snapshots as rarely as it does in service; otherwise they are frequent, so that runs meet
+	// them.
+	Calm bool
 	// Clients is how many clients ask at once, where a run has them; 0 stands for a few.
 	Clients int
 	// Answers is how a stand-in server answers; nil: at once, with a few bytes.
@@ -169,7 +172,10 @@
 		p("[[chat.server]]\nid = %q\naddr = %q", serverName(i), f.back[[2]string{d.Name, serverName(i)}].Addr())
 	}
 	p("[members]\nprefix = \"/sumacloft/members/%s/\"", d.Name) // each reaches the servers by links of its own
-	p("[store]\nid = %q\ndir = %q\nheartbeat_ms = 200\nsnapshot_entries = 60\nsnapshot_ms = 400", d.Name, d.dir)
+	p("[store]\nid = %q\ndir = %q\nheartbeat_ms = 200", d.Name, d.dir)
+	if !f.o.Calm {
+		p("snapshot_entries = 60\nsnapshot_ms = 400")
+	}
 	for _, o := range f.Daemons {
 		raft, client := o.Raft, o.Client
 		if o != d {
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -42,7 +42,7 @@
 
 // MeasurePolicy measures changes of policy under load: so many changes with each trouble.
 func MeasurePolicy(ctx context.Context, o Options, changes int, said func(string)) ([]Measure, error) {
-	o.Daemons, o.Servers, o.OnLapse = 5, 2, rollout.Refuse
+	o.Daemons, o.Servers, o.OnLapse, o.Calm = 5, 2, rollout.Refuse, true
 	f, err := Open(o)
 	if err != nil {
 		return nil, err
--- a/internal/lab/measurework.go
+++ b/internal/lab/measurework.go
@@ -43,7 +43,7 @@
 
 // MeasureWork measures filings a second over five daemons, several runs each, with clients spread over all.
 func MeasureWork(ctx context.Context, o Options, runs int, span time.Duration, said func(string)) (out []WorkMeasure, err error) {
-	o.Daemons, o.Servers, o.OnLapse, o.Answers = 5, 3, "refuse", http.HandlerFunc(instant)
+	o.Daemons, o.Servers, o.OnLapse, o.Answers, o.Calm = 5, 3, "refuse", http.HandlerFunc(instant), true
 	for _, way := range ways {
 		dir := o.Dir
 		o.Classes, o.File, o.Dir = way.classes, way.file, dir+"/"+strings.ReplaceAll(way.how, " ", "-")
@@ -147,7 +147,7 @@
 
 // MeasureSettling kills a router that has so many filings at servers which never answer.
 func MeasureSettling(ctx context.Context, o Options, inHand int) (Settling, error) {
-	o.Daemons, o.Servers, o.OnLapse = 5, 3, "refuse"
+	o.Daemons, o.Servers, o.OnLapse, o.Calm = 5, 3, "refuse", true
 	o.Classes = strings.ReplaceAll(WorkClasses, "8000", "60000")
 	o.File = "[work]\nmax_open = 5000\n"
 	out := Settling{LeaseS: o.LeaseS}
