--- a/internal/chat/flight.go
+++ b/internal/chat/flight.go
@@ -99,7 +99,7 @@
 		TakenMs: time.Now().UnixMilli(), Deadline: time.Now().Add(j.arrival.Left).UnixMilli(), Digest: h.Book.Digest([]byte("body"), j.body),
 		Request: ledger.Request{Body: j.body, Type: j.contentType, Auth: j.auth, Session: req.Header.Get(t.set.SessionHeader), Key: given}}
 	if given != "" {
-		rec.Key = h.Book.Digest([]byte("key"), []byte(j.auth), []byte(given))
+		rec.Key = h.Book.ClientKey(j.auth, given)
 		if h.known(w, req, rec) {
 			j.free()
 			return
--- a/internal/work/book.go
+++ b/internal/work/book.go
@@ -23,6 +23,8 @@
 	openKeys  = root + "open/" // in hand
 	doneKeys  = root + "done/" // ended, until their lease is over
 	secretKey = root + "secret"
+	// SecretKey is where the fleet's secret stands, for the laboratory, which must find a client's record.
+	SecretKey = secretKey
 )
 
 // Options set up a book.
@@ -191,6 +193,18 @@
 	return b.secret.Digest(parts...)
 }
 
+// ClientKey is the record's key of a client's key.
+func (s Secret) ClientKey(auth, given string) string {
+	return s.Digest([]byte("key"), []byte(auth), []byte(given))
+}
+
+// ClientKey is the record's key of a client's key; only with Ready.
+func (b *Book) ClientKey(auth, given string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.secret.ClientKey(auth, given)
+}
+
 // Anonymous draws a key for a request that came without one.
 func Anonymous() string { return "~" + uuid.NewString() }
 
