--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -260,12 +260,25 @@
 	if err := o.Work.check(); err != nil {
 		return o, err
 	}
+	if err := o.handsOver(o.Chat); err != nil {
+		return o, err
+	}
 	if o.Discovery != "" && len(o.Members.Endpoints) > 0 {
 		return o, fmt.Errorf("discovery: there are members.endpoints (or a store) too; only one can name the servers")
 	}
 	return o, o.Chat.check(o.watched())
 }
 
+// handsOver checks that this router can write work in hand down, where a class asks for it: it must not go unguarded.
+func (o Operator) handsOver(c Chat) error {
+	for i, k := range c.Classes {
+		if k.Handover && (!o.Policy.On() || o.Policy.OnLapse != LapseRefuse) {
+			return fmt.Errorf("chat.class[%d].handover: work is taken over once a router's lease is over: this needs a store, and policy.on_lapse %q", i, LapseRefuse)
+		}
+	}
+	return nil
+}
+
 // Moved tells whether the next configuration names another place of the list of servers, or, where the file itself
 // lists them, others.
 func (o Operator) Moved(next Operator) bool {
--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -203,10 +203,8 @@
 			return c, fmt.Errorf("needs.servers: this router's chat.server lacks %q", id)
 		}
 	}
-	for i, k := range c.Classes {
-		if k.Handover && (!o.Policy.On() || o.Policy.OnLapse != LapseRefuse) {
-			return c, fmt.Errorf("chat.class[%d].handover: work is taken over once a router's lease is over, and this router's policy.on_lapse is not %q", i, LapseRefuse)
-		}
+	if err := o.handsOver(c); err != nil {
+		return c, err
 	}
 	switch {
 	case d.Needs.Sockets > o.Limits.Sockets:
--- a/internal/config/policy_test.go
+++ b/internal/config/policy_test.go
@@ -109,6 +109,9 @@
 		t.Errorf("%+v, %v", o.Policy, err)
 	}
 	for text, key := range map[string]string{
+		"[[chat.class]]\nname = \"h\"\neffect = \"unsafe\"\ndeadline_ms = 1\nhandover = true\n": "chat.class[1].handover",
+		node + "[work]\nmax_open = 0\n":                                                        "work.max_open",
+		node + "[work]\non_away = \"hope\"\n":                                                  "work.on_away",
 		node + "[policy]\non_lapse = \"hope\"\n":                                               "policy.on_lapse",
 		strings.Replace(node, "dir = \"/tmp/a\"\n", "", 1) + "[policy]\non_lapse = \"keep\"\n": "policy.on_lapse",
 		node + "[policy]\nlease_s = 0\n":                                                       "policy.lease_s",
