Read once more: one start for a schedule's fleet; what nothing used is gone

lab.begin serves both kinds of run; Client.Endpoints, Daemon.Signal, Book.Entries, an unused parameter and a result are removed.

--- a/internal/chat/flight.go
+++ b/internal/chat/flight.go
@@ -13,7 +13,6 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/trace"
 
-	"sumacloft/brain"
 	"sumacloft/internal/config"
 	"sumacloft/internal/core"
 	"sumacloft/internal/ledger"
@@ -189,7 +188,7 @@
 	if !named || effects[t.set.Classes[class].Effect] != rec.Effect {
 		class = len(t.set.Classes) // what the class was is gone: it must never run twice
 	}
-	j, _, err := h.front.read(t, body, class)
+	j, err := h.front.read(t, body, class)
 	if err != nil {
 		h.Log.WithField("key", rec.Key).WithError(err).Warn("work: what was taken over can't be read under the policy in force")
 		if rec.Step == ledger.Waiting || rec.Effect == ledger.Safe {
@@ -592,12 +591,12 @@
 }
 
 // read makes a job of a body that another router took, under a class by its place in the terms.
-func (f *Front) read(t *Terms, body []byte, class int) (*job, brain.Arrived, error) {
+func (f *Front) read(t *Terms, body []byte, class int) (*job, error) {
 	a, limit, err := t.read(body)
 	if err != nil {
-		return nil, brain.Arrived{}, err
+		return nil, err
 	}
 	j := f.job(t, a, limit, class, body)
 	f.measure(&j.arrival, a.Messages, "")
-	return j, j.arrival, nil
+	return j, nil
 }
--- a/internal/etcd/client.go
+++ b/internal/etcd/client.go
@@ -65,9 +65,6 @@
 // Conn is the connection to one endpoint, by its place.
 func (c *Client) Conn(i int) *grpc.ClientConn { return c.conns[i%len(c.conns)] }
 
-// Endpoints are the endpoints' addresses.
-func (c *Client) Endpoints() []string { return c.endpoints }
-
 // do asks one endpoint after the other, each for a while, until one answers or the error is the store's word. Only
 // errors after which the call has surely not been carried out go to the next endpoint, unless it is harmless to
 // ask again.
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -16,7 +17,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
@@ -82,22 +82,12 @@
 // itself failed; what the fleet did wrong is in the report.
 func Carry(ctx context.Context, s Schedule, o Options) (Report, error) {
 	began := time.Now()
-	o.Seed, o.Daemons, o.OnLapse = s.Seed, s.Daemons, s.OnLapse
-	if o.Servers == 0 {
-		o.Servers = 2
-	}
-	if o.LeaseS == 0 {
-		o.LeaseS = 1
-	}
 	rep := Report{Seed: s.Seed}
-	f, err := Open(o)
+	f, err := begin(ctx, s, o, 2)
 	if err != nil {
 		return rep, err
 	}
 	defer f.Close()
-	if err := f.Up(ctx); err != nil {
-		return rep, err
-	}
 	r := &run{f: f, began: time.Now(), ctx: ctx, rep: &rep, exits: map[string]told{}}
 	load, stop := context.WithCancel(ctx)
 	defer stop()
@@ -117,6 +107,20 @@
 	return rep, ctx.Err()
 }
 
+// begin starts the fleet of a schedule, with so many servers and a lease of a second where the options say nothing.
+func begin(ctx context.Context, s Schedule, o Options, servers int) (*Fleet, error) {
+	o.Seed, o.Daemons, o.OnLapse = s.Seed, s.Daemons, s.OnLapse
+	o.Servers, o.LeaseS = cmp.Or(o.Servers, servers), cmp.Or(o.LeaseS, 1)
+	f, err := Open(o)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.Up(ctx); err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	return f, nil
+}
+
 // carry does all steps, then mends what is broken.
 func (r *run) carry(s Schedule) error {
 	for _, step := range s.Steps {
@@ -534,6 +538,3 @@
 	}
 	return nil
 }
-
-// Signal sends a signal to a daemon's process, if it runs.
-func (d *Daemon) Signal(s syscall.Signal) { d.signal(s) }
--- a/internal/lab/work.go
+++ b/internal/lab/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -216,33 +217,18 @@
 // and judges what ran and what was answered.
 func CarryWork(ctx context.Context, s Schedule, o Options) (WorkReport, error) {
 	began := time.Now()
-	o.Seed, o.Daemons, o.OnLapse = s.Seed, s.Daemons, s.OnLapse
-	if o.Servers == 0 {
-		o.Servers = 3
-	}
-	if o.LeaseS == 0 {
-		o.LeaseS = 1
-	}
-	if o.Classes == "" {
-		o.Classes = WorkClasses
-	}
-	if o.Clients == 0 {
-		o.Clients = workClients
-	}
+	o.Classes, o.Clients = cmp.Or(o.Classes, WorkClasses), cmp.Or(o.Clients, workClients)
 	counter, _ := o.Answers.(*Counter)
 	if counter == nil {
 		counter = NewCounter(s.Seed)
 		o.Answers = counter
 	}
 	rep := WorkReport{Seed: s.Seed, Statuses: map[string]int{}}
-	f, err := Open(o)
+	f, err := begin(ctx, s, o, 3)
 	if err != nil {
 		return rep, err
 	}
 	defer f.Close()
-	if err := f.Up(ctx); err != nil {
-		return rep, err
-	}
 	r := &run{f: f, began: time.Now(), ctx: ctx, rep: &Report{}, exits: map[string]told{}}
 	w := &workers{f: f, statuses: map[string]int{}}
 	load, stop := context.WithCancel(ctx)
--- a/internal/policy/await.go
+++ b/internal/policy/await.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"sumacloft/internal/rollout"
@@ -34,7 +35,7 @@
 			continue
 		}
 		if v.Change == nil || v.Change.ID != id { // ended, and another has begun
-			if c, err := s.Outcome(ctx, id); err == nil || ctx.Err() == nil && !unreachable(err) {
+			if c, err := s.Outcome(ctx, id); err == nil || ctx.Err() == nil && errors.Is(err, ErrNoChange) {
 				return c, err
 			}
 			continue
--- a/internal/policy/records.go
+++ b/internal/policy/records.go
@@ -222,9 +222,6 @@
 	}
 }
 
-// unreachable tells whether an error says nothing but that the store did not answer.
-func unreachable(err error) bool { return !errors.Is(err, ErrNoChange) }
-
 func (s Store) all(ctx context.Context, prefix string, each func(*mvccpb.KeyValue) error) error {
 	r, err := s.Range(ctx, etcd.Under(prefix, false))
 	if err != nil {
--- a/internal/work/book.go
+++ b/internal/work/book.go
@@ -224,15 +224,11 @@
 }
 
 // Find looks a key up in this router's copy of the store, which may be a little behind.
-func (b *Book) Find(ctx context.Context, key string) (ledger.Record, bool, error) {
-	return b.find(ctx, key, true)
-}
-
-func (b *Book) find(ctx context.Context, key string, copied bool) (none ledger.Record, found bool, err error) {
+func (b *Book) Find(ctx context.Context, key string) (none ledger.Record, found bool, err error) {
 	ctx, done := context.WithTimeout(ctx, callLimit)
 	defer done()
 	for _, prefix := range [...]string{doneKeys, openKeys, doneKeys} { // one that ends meanwhile is not missed
-		r, err := b.client.Range(ctx, &pb.RangeRequest{Key: []byte(prefix + key), Serializable: copied})
+		r, err := b.client.Range(ctx, &pb.RangeRequest{Key: []byte(prefix + key), Serializable: true})
 		if err != nil {
 			return none, false, err
 		}
@@ -516,17 +512,6 @@
 	}
 }
 
-// Entries are those that are in hand here.
-func (b *Book) Entries() []*Entry {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	out := make([]*Entry, 0, len(b.entries))
-	for _, e := range b.entries {
-		out = append(out, e)
-	}
-	return out
-}
-
 // Commits tells how many entries of the log were made for how many changes.
 func (b *Book) Commits() (entries, changes int64) {
 	return b.commits.entries.Load(), b.commits.changes.Load()
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -111,8 +111,11 @@
 	gone := taken(t, a, record("gone", ledger.Unsafe))
 	must(t, gone.Wait(t.Context()))
 	must(t, gone.Drop(t.Context()))
-	if _, there, _ := a.Find(t.Context(), "gone"); there || len(a.Entries()) != 0 {
-		t.Errorf("there %v, %d in hand", there, len(a.Entries()))
+	a.mu.Lock()
+	inHand := len(a.entries)
+	a.mu.Unlock()
+	if _, there, _ := a.Find(t.Context(), "gone"); there || inHand != 0 {
+		t.Errorf("there %v, %d in hand", there, inHand)
 	}
 	// An answer that is too large is not kept, and says so; nor is a body.
 	big := make([]byte, 5000)
