--- a/brain/api.go
+++ b/brain/api.go
@@ -66,7 +66,7 @@
 
 // Settings are fixed for the life of a Scheduler.
 type Settings struct {
-	Zone    int // of this router
+	Zone    int // of this router; below 0: none, and its own does not come first
 	Routers int // that share the engines, with this one; 0: unknown
 	Classes []Class
 	Kinds   []Kind
@@ -79,6 +79,10 @@
 	WritersRead bool // a writer reads the prompt itself when there is no state
 	AskForList  bool // the list of engines comes only when asked for
 
+	// Admitted is, by class, the part of the requests that the fleet has room for: those of the least rank; the others
+	// are turned away as they arrive. A class past its end is taken whole.
+	Admitted []float64
+
 	Step          time.Duration // shortest time between two calls of Handle with different times
 	PinLimit      time.Duration // state with no attempt out must be taken or released within this time
 	AskWithin     time.Duration // AskForList: ask at least this often while not subscribed
@@ -151,6 +155,9 @@
 	Availability Availability
 	Weight       float64
 	StartedAt    time.Duration // 0: long ago
+	// Parts scale, by class, the engine's share of the keys; with 0 nothing of the class goes there. The fleet's plan
+	// sets them; a class past their end is whole.
+	Parts []float64
 }
 
 // Listed brings news from discovery.
@@ -171,6 +178,7 @@
 	HintTokens   float64       // rough length of the answer; 0: not known
 	Left         time.Duration // until the client gives up on this try
 	Tried        int           // attempts that were made for it elsewhere; they count with ours
+	Rank         float64       // its place, from 0 to 1, in the order in which Settings.Admitted takes its class
 	Resumed      bool          // the client asks for the rest of an answer that broke: its start was in time long ago
 }
 
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -156,6 +156,10 @@
 	r.aimAt = s.now + min(aim, r.class.Aim+share(ev.PromptTokens/1000, r.class.AimPer1kPrompt))
 	r.deadline = s.now + ev.Left - 2*s.set.Step
 	s.requests[ev.Request] = r
+	if k := ev.Class; k >= 0 && k < len(s.set.Admitted) && ev.Rank >= s.set.Admitted[k] {
+		s.giveUp(r, share((1+unit(s.seed, uint64(ev.Request)))/2, s.set.MaxHoldOff)) // spread: no wave
+		return
+	}
 	s.seen++
 	s.do(SetTimer{At: r.deadline, Key: uint64(ev.Request)})
 	s.next(r)
@@ -287,14 +291,13 @@
 	waiting := s.parked
 	s.parked = nil
 	for _, r := range waiting {
-		if r.over {
-			continue
-		}
-		if r.state == nil && s.now > r.aimAt { // the client may find a router that knows an engine
+		switch {
+		case r.over:
+		case r.state == nil && s.now > r.aimAt: // the client may find a router that knows an engine
 			s.giveUp(r, s.set.MaxHoldOff)
-			continue
+		default:
+			s.next(r)
 		}
-		s.next(r)
 	}
 }
 
@@ -426,7 +429,8 @@
 		list = s.usable(r, func(*engine) bool { return true })
 	}
 	key := cmp.Or(r.Prefix, r.Session, uint64(r.Request))
-	score := func(e *engine) float64 { return e.share * s.warmth(e) / -math.Log(unit(key, uint64(e.ID))) }
+	part := func(e *engine) float64 { return e.part(r.Class) * s.warmth(e) }
+	score := func(e *engine) float64 { return part(e) / -math.Log(unit(key, uint64(e.ID))) }
 	stays := unit(key, stayKey) < s.ableZone()
 	for _, e := range list {
 		risky := e == r.avoid || s.risk(e, r.Class) > ejectRisk
@@ -773,16 +777,12 @@
 
 func (s *Scheduler) forget(r *request) {
 	if !r.started && r.sends > 0 {
-		s.release(r)
+		r.state = nil
+		s.do(Release{Request: r.Request})
 	}
 	delete(s.requests, r.Request)
 }
 
-func (s *Scheduler) release(r *request) {
-	r.state = nil
-	s.do(Release{Request: r.Request})
-}
-
 // --- Health.
 
 // Evidence is kept by engine and pooled by what engines have in common: with few attempts a router would
@@ -838,7 +838,8 @@
 func (s *Scheduler) usable(r *request, fits func(*engine) bool) []*engine {
 	var list []*engine
 	for _, e := range s.order {
-		if e.Availability == Ready && s.now >= e.fullTill && r.inScope(e) && fits(e) && s.hasRoom(e, r) {
+		open := e.Availability == Ready && s.now >= e.fullTill && e.part(r.Class) > 0
+		if open && r.inScope(e) && fits(e) && s.hasRoom(e, r) {
 			list = append(list, e)
 		}
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1181,3 +1181,54 @@
 	got = b.end(2, Errored, false)
 	b.must(!has[Send](got) && has[Fail](got), "a new request has the old terms: %+v", got)
 }
+
+// What the fleet's plan leaves no room for is turned away as it arrives, by its rank, with advice that is spread; the
+// others, and classes that the plan does not name, are taken.
+func TestPlanTurnsAwayByRank(t *testing.T) {
+	set := testSettings()
+	set.Admitted = []float64{0.4, 1}
+	b := newBench(t, set, fleet())
+	advice := map[time.Duration]bool{}
+	for i := range 10 {
+		for class := range 3 {
+			id := RequestID(100*class + i)
+			b.log = nil
+			b.give(Arrived{Request: id, Class: class, Session: uint64(id) + 1, Rank: float64(i) / 10, PromptTokens: 100, MaxTokens: 10, Left: 3 * time.Second})
+			refused := count[Refuse](b.log, func(r Refuse) bool { advice[r.HoldOff] = true; return r.Request == id })
+			if want := one(class == 0 && i >= 4); refused != want || count[Send](b.log, func(s Send) bool { return s.Request == id }) != 1-want {
+				t.Errorf("class %d, rank 0.%d: refused %d times, want %d", class, i, refused, want)
+			}
+		}
+	}
+	if len(advice) < 4 {
+		t.Errorf("six were sent away for %d times in all", len(advice))
+	}
+}
+
+// The plan's parts settle how keys are shared among engines, by class; an engine without a part gets nothing of it.
+func TestPlanPartsShareKeys(t *testing.T) {
+	set := testSettings()
+	set.Zone = -1
+	near, far := Engine{ID: 1, Zone: 0, Kind: 2, Parts: []float64{3, 0}}, Engine{ID: 2, Zone: 1, Kind: 2, Parts: []float64{1, 1}}
+	s := New(set, 7)
+	s.Handle(time.Second, Listed{Kind: ListWhole, Engines: []Engine{near, far}}, nil)
+	got := [2]map[EngineID]int{{}, {}}
+	for i := range 4000 {
+		for class := range 2 {
+			id := RequestID(10000*class + i + 1)
+			for _, a := range s.Handle(time.Second, Arrived{Request: id, Class: class, Session: uint64(id), Left: 3 * time.Second}, nil) {
+				if send, ok := a.(Send); ok {
+					got[class][send.Engine]++
+					s.Handle(time.Second, Started{Request: id, Engine: send.Engine, Took: ms}, nil)
+					s.Handle(time.Second, Ended{Request: id, Engine: send.Engine, Result: Served, Took: ms, Last: true}, nil)
+				}
+			}
+		}
+	}
+	if got[1][1] != 0 || got[1][2] != 4000 {
+		t.Errorf("class 1 went to %v", got[1])
+	}
+	if share := float64(got[0][1]) / 4000; share < 0.7 || share > 0.8 {
+		t.Errorf("class 0 went to %v: %.2f of it to the engine with 3 parts of 4", got[0], share)
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -199,6 +199,14 @@
 	return 1
 }
 
+// part is the engine's weight in the rendezvous hash for a class: what the fleet's plan leaves it of its share.
+func (e *engine) part(class int) float64 {
+	if class < 0 || class >= len(e.Parts) {
+		return e.share
+	}
+	return e.share * e.Parts[class]
+}
+
 // unit hashes two numbers to one between 0 and 1 (splitmix64's finalizer).
 func unit(a, b uint64) float64 {
 	x := a ^ (b+0x9e3779b97f4a7c15)*0xbf58476d1ce4e5b9
--- a/cmd/sumacloft/main.go
+++ b/cmd/sumacloft/main.go
@@ -112,6 +112,7 @@
 	budget *upstream.Budget
 	pool   *upstream.Pool
 	core   *core.Core
+	listed func(brain.ListKind, []core.Worker) // takes the list of workers; nil: the core does
 	front  front
 	names  discovery.Names
 	desk   *desk  // bans and the console; nil: none
@@ -151,7 +152,7 @@
 			r.desk.list(kind, l)
 			return
 		}
-		r.core.Listed(kind, r.names.Workers(l.Members))
+		r.listed(kind, r.names.Workers(l.Members))
 	}
 	for run := r.source; ; {
 		watching, stop := context.WithCancel(ctx)
@@ -273,7 +274,7 @@
 	r.source = operators(cfg, log)
 	r.front = chat.New(r.core, servers, cfg.Chat)
 	if cfg.Policy.On() {
-		fleet, err := joinFleet(cfg, r.core, log)
+		fleet, err := joinFleet(cfg, r.core, servers, log)
 		if err != nil {
 			if r.close != nil {
 				err = errors.Join(err, r.close())
@@ -282,7 +283,9 @@
 		}
 		front := chat.NewGated(r.core, servers, fleet.gate, cfg.Policy.Header)
 		fleet.handover.Bind(front)
-		r.front = front
+		front.Count(fleet.sites)
+		r.front, r.listed = front, fleet.sites.Listed
+		fleet.sites.Listed(brain.ListWhole, cfg.Chat.Workers())
 		fleet.start()
 		if cfg.Work.HandOverDrain {
 			r.handOver = fleet.handover.HandOver
@@ -358,6 +361,9 @@
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	if r.listed == nil {
+		r.listed = r.core.Listed
+	}
 	if r.desk != nil {
 		if err := r.operators(background); err != nil {
 			_ = listener.Close()
--- a/cmd/sumacloft/policy.go
+++ b/cmd/sumacloft/policy.go
@@ -16,6 +16,7 @@
 	"sumacloft/internal/ledger"
 	"sumacloft/internal/policy"
 	"sumacloft/internal/rollout"
+	"sumacloft/internal/siting"
 	"sumacloft/internal/work"
 )
 
@@ -23,6 +24,7 @@
 type fleet struct {
 	gate     *policy.Gate[*chat.Terms]
 	handover *chat.Handover
+	sites    *siting.Agent
 	start    func()
 	// leave takes the registration back. The gate is shut from then on.
 	leave func() error
@@ -30,7 +32,7 @@
 
 // joinFleet makes this router a member of its fleet; once started it registers and follows the fleet's policy. The gate
 // is shut until then.
-func joinFleet(cfg config.Operator, c *core.Core, log *logrus.Logger) (*fleet, error) {
+func joinFleet(cfg config.Operator, c *core.Core, servers *chat.Servers, log *logrus.Logger) (*fleet, error) {
 	kv, err := etcd.NewClient(cfg.Policy.Endpoints)
 	if err != nil {
 		return nil, err
@@ -42,6 +44,10 @@
 			return nil, errors.Join(err, kv.Close())
 		}
 	}
+	if f.sites, err = siting.Open(siting.Options{Name: me.Name, Boot: me.Boot, Endpoints: cfg.Policy.Endpoints, Zones: cfg.Chat.Zones, Zone: cfg.Chat.Zone,
+		Probe: servers.Probe, Retune: c.Retune, Listed: c.Listed, Log: log, Broken: siting.Injected()}); err != nil {
+		return nil, errors.Join(err, kv.Close(), closeSpans())
+	}
 	classes := &config.ChatCatalog{}
 	agent, err := policy.Open(policy.Options[*chat.Terms]{
 		Name: me.Name, Boot: me.Boot, Listen: cfg.Listen, Endpoints: cfg.Policy.Endpoints, Dir: cfg.Store.Dir, OnLapse: cfg.Policy.OnLapse,
@@ -56,14 +62,18 @@
 			if err != nil {
 				return nil, err
 			}
+			plan, err := config.PlanOf(v.Text, set)
+			if err != nil {
+				return nil, err
+			}
 			brain, places := classes.Take(set)
-			c.Retune(brain)
+			f.sites.Took(siting.Terms{Settings: brain, Places: named(set, places), Model: plan, Version: v.Version})
 			return chat.NewTerms(set, places, v.Version), nil
 		},
 		Seen: func(v rollout.View) { f.handover.Book.Seen(living(v), v.Revision) },
 		Log:  log, Broken: policy.Injected()})
 	if err != nil {
-		return nil, errors.Join(err, kv.Close(), closeSpans())
+		return nil, errors.Join(err, f.sites.Close(), kv.Close(), closeSpans())
 	}
 	f.gate = agent.Gate()
 	w := cfg.Work
@@ -77,12 +87,12 @@
 		},
 		Resume: f.handover.Resume, Log: log, Spans: f.handover.Spans, Broken: work.Injected()})
 	if err != nil {
-		return nil, errors.Join(err, agent.Close(), kv.Close(), closeSpans())
+		return nil, errors.Join(err, agent.Close(), f.sites.Close(), kv.Close(), closeSpans())
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	f.start = func() {
-		for _, run := range []func(context.Context){agent.Run, f.handover.Book.Run} {
+		for _, run := range []func(context.Context){agent.Run, f.handover.Book.Run, f.sites.Run} {
 			all.Add(1)
 			go func() { defer all.Done(); run(ctx) }()
 		}
@@ -96,7 +106,7 @@
 		done()
 		stop()
 		all.Wait()
-		return errors.Join(agent.Close(), f.handover.Book.Close(), kv.Close(), closeSpans())
+		return errors.Join(agent.Close(), f.handover.Book.Close(), f.sites.Close(), kv.Close(), closeSpans())
 	}
 	return f, nil
 }
@@ -105,6 +115,15 @@
 // back; what is left then is another router's.
 const leaves = 10 * time.Second
 
+// named are the places of classes in the module, by their names.
+func named(set config.Chat, places []int) map[string]int {
+	out := map[string]int{}
+	for i, k := range set.Classes {
+		out[k.Name] = places[i]
+	}
+	return out
+}
+
 // living are the processes whose lease stands in a view.
 func living(v rollout.View) []ledger.Owner {
 	var out []ledger.Owner
--- a/internal/chat/flight.go
+++ b/internal/chat/flight.go
@@ -370,6 +370,7 @@
 
 // Refuse serves core.Client.
 func (fl *flight) Refuse(holdOff time.Duration) {
+	fl.job.refused()
 	fl.ending(refused, holdOff, writesFor, fl.entry.Drop)
 }
 
--- a/internal/chat/front.go
+++ b/internal/chat/front.go
@@ -38,6 +38,7 @@
 	gate        Gate
 	showVersion bool      // answers name the version that they were decided under
 	handover    *Handover // nil: no class has it
+	meter       Meter     // nil: there is no plan for sites
 	closing     atomic.Bool
 	mux         *http.ServeMux
 }
@@ -62,6 +63,19 @@
 	return f
 }
 
+// Meter counts requests for the fleet's plan for the loss of a site.
+type Meter interface {
+	// Arrived tells of a request, and gives its rank in the order in which its class is taken.
+	Arrived(class string, session uint64) (rank float64)
+	// Tried tells how an attempt ended that was not called off.
+	Tried(zone int, heard, inTime bool, session uint64)
+	// Refused tells of a request that the module turned away.
+	Refused(class string, rank float64)
+}
+
+// Count has a meter told of all requests from now on; it is called before any is served.
+func (f *Front) Count(m Meter) { f.meter = m }
+
 // Drain makes the health check fail and asks clients to leave after their next answer.
 func (f *Front) Drain() { f.closing.Store(true) }
 
@@ -149,6 +163,11 @@
 	}
 	j.free = free
 	j.arrival.Left -= time.Since(came) // it may have waited for a change of policy
+	if f.meter != nil && j.class < len(t.set.Classes) {
+		k := t.set.Classes[j.class]
+		j.meter, j.className, j.aim, j.came = f.meter, k.Name, config.Millis(k.AimMs), came
+		j.arrival.Rank = f.meter.Arrived(k.Name, j.arrival.Session)
+	}
 	if class, ok := t.handsOver(j.class); ok && f.handover != nil {
 		f.handover.serve(w, req, t, j, class)
 		return
@@ -289,12 +308,20 @@
 
 // Refuse says that trying again is harmless, and when.
 func (c *client) Refuse(holdOff time.Duration) {
+	c.job.refused()
 	if holdOff > 0 {
 		retryAfter(c.w, holdOff)
 	}
 	fail(c.w, http.StatusServiceUnavailable, "server_error", "overloaded", "no server can take the request now; it has not run")
 }
 
+// refused tells the meter, if there is one, that the module turned the request away.
+func (j *job) refused() {
+	if j != nil && j.meter != nil {
+		j.meter.Refused(j.className, j.arrival.Rank)
+	}
+}
+
 // Fail tells that the request may have run; no client library may repeat it by itself.
 func (c *client) Fail() {
 	c.w.Header().Set(noRetry, "false")
--- a/internal/chat/servers.go
+++ b/internal/chat/servers.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"sumacloft/brain"
 	"sumacloft/internal/core"
@@ -60,6 +61,10 @@
 	idempotency string  // the client's Idempotency-Key
 	class       int     // the class's place in the terms that it was taken under
 	flight      *flight // nil: it is not written down
+	meter       Meter   // nil: nobody counts
+	className   string
+	aim         time.Duration
+	came        time.Time
 
 	free   func() // gives back the body's memory
 	status int    // of the answer that is passed on
@@ -95,6 +100,16 @@
 }
 
 func (j *job) try(ctx context.Context, w core.Worker, clear func() error) (core.Reply, error) {
+	reply, err := j.ask(ctx, w, clear)
+	if j.meter != nil && (err == nil || ctx.Err() == nil && !errors.Is(err, core.ErrCalledOff)) {
+		var e *core.AttemptError
+		heard := err == nil || errors.As(err, &e) && e.Verdict != core.NoVerdict
+		j.meter.Tried(w.Zone, heard, err == nil && time.Since(j.came) <= j.aim, j.arrival.Session)
+	}
+	return reply, err
+}
+
+func (j *job) ask(ctx context.Context, w core.Worker, clear func() error) (core.Reply, error) {
 	a, err := j.servers.pool.Do(ctx, w.Addr, http.MethodPost, j.bytes(w), clear)
 	if err != nil {
 		return core.Reply{}, err
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -11,6 +11,7 @@
 	"sumacloft/brain"
 	"sumacloft/internal/core"
 	"sumacloft/internal/discovery"
+	"sumacloft/internal/sites"
 )
 
 // Operator is the operator's file: the chat front and the servers behind it.
@@ -25,6 +26,8 @@
 	Store     Store   `toml:"store"`
 	Policy    Policy  `toml:"policy"`
 	Work      Work    `toml:"work"`
+	// Sites is the plan for the loss of a site, for a fleet that has no policy yet; without sites there is none.
+	Sites sites.Model `toml:"sites"`
 }
 
 // Members says where the list of servers is watched in etcd's API; without endpoints it is not.
@@ -263,6 +266,9 @@
 	if err := o.handsOver(o.Chat); err != nil {
 		return o, err
 	}
+	if err := o.plans(o.Chat, o.Sites); err != nil {
+		return o, err
+	}
 	if o.Discovery != "" && len(o.Members.Endpoints) > 0 {
 		return o, fmt.Errorf("discovery: there are members.endpoints (or a store) too; only one can name the servers")
 	}
--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -12,6 +12,7 @@
 	"github.com/xeipuuv/gojsonschema"
 
 	"sumacloft/brain"
+	"sumacloft/internal/sites"
 )
 
 // Policy sets up how this daemon follows its fleet's policy. Without a store there is none.
@@ -92,6 +93,8 @@
 type Document struct {
 	Chat  PolicyChat  `toml:"chat"`
 	Needs PolicyNeeds `toml:"needs,omitempty"`
+	// Sites is the plan for the loss of a site; without sites there is none.
+	Sites *sites.Model `toml:"sites,omitempty"`
 }
 
 // PolicyChat is the part of [chat] that is a policy's.
@@ -161,6 +164,11 @@
 		return d, err
 	}
 	d.Chat = whole.policy()
+	if d.Sites != nil {
+		if _, err := d.Sites.Check(); err != nil {
+			return d, err
+		}
+	}
 	return d, nil
 }
 
@@ -183,7 +191,13 @@
 }
 
 // FirstPolicy is the policy that this file has, for a fleet that has none yet.
-func (o Operator) FirstPolicy() string { return Document{Chat: o.Chat.policy()}.Text() }
+func (o Operator) FirstPolicy() string {
+	d := Document{Chat: o.Chat.policy()}
+	if len(o.Sites.Sites) > 0 {
+		d.Sites = &o.Sites
+	}
+	return d.Text()
+}
 
 // Under gives the chat front's set-up under a policy, or the key for which this router can't carry it.
 func (o Operator) Under(text string) (Chat, error) {
@@ -206,6 +220,11 @@
 	if err := o.handsOver(c); err != nil {
 		return c, err
 	}
+	if d.Sites != nil {
+		if err := o.plans(c, *d.Sites); err != nil {
+			return c, err
+		}
+	}
 	switch {
 	case d.Needs.Sockets > o.Limits.Sockets:
 		return c, fmt.Errorf("needs.sockets: %d, this router's limits.sockets is %d", d.Needs.Sockets, o.Limits.Sockets)
--- /dev/null
+++ b/internal/sites/decide.go
@@ -0,0 +1,361 @@
+package sites
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Posture is what all routers follow: it stands in the store, and is written by a compare on the one before.
+type Posture struct {
+	Seq      int64              `json:"seq"`
+	Version  int64              `json:"version"` // of the policy whose model it was made by
+	By       string             `json:"by"`
+	Sites    map[string]Verdict `json:"sites"`
+	Admit    map[string]Rows    `json:"admit,omitempty"` // by class and by the site of the routers; what is not named is taken whole
+	Parts    map[string]Table   `json:"parts,omitempty"` // by class, by the site of the routers and by that of the servers
+	Bearing  map[string]float64 `json:"bearing"`         // by site: how its true capacity compares with the declared one
+	How      string             `json:"how,omitempty"`
+	Rev      int64              `json:"-"`
+	Settling bool               `json:"settling,omitempty"` // admissions are still on their way up
+}
+
+// Rows and Table are figures by site, and by two sites.
+type (
+	Rows  map[string]float64
+	Table map[string]Rows
+)
+
+// Fault is a rule that a decider breaks on purpose, so that checkers can be shown to find it.
+type Fault string
+
+// The faults.
+const (
+	NoPace   Fault = "no-pace"  // a site that returns is given its whole part at once
+	Reversed Fault = "reversed" // what is worth most is refused first
+	Alone    Fault = "alone"    // each router follows its own verdicts, from what it alone sees
+)
+
+// Decider comes to postures. Each router keeps one and steps it alike; whose turn it is writes.
+type Decider struct {
+	Me     string
+	Broken Fault
+
+	judge   Judge
+	heard   map[string]heard
+	bearing map[string]float64
+	demand  map[string]map[string]float64 // by class and site, smoothed
+	stepped time.Duration
+	due     time.Duration // since when a posture has been due that nobody wrote
+	waits   bool
+}
+
+type heard struct {
+	rev int64
+	at  time.Duration
+}
+
+// View is what is known at one moment.
+type View struct {
+	Model   Model
+	Version int64
+	Last    *Posture // nil: there was none
+	Orders  map[string]Orders
+	Reports []Report // by whatever routers there are
+}
+
+const (
+	// freshFor is for how many periods a report is believed.
+	freshFor = 4
+	// turn is how much later each next router writes a posture that the one before it should have written.
+	turn = 250 * time.Millisecond
+	// smooth is the weight of a period's demand in its mean.
+	smooth = 0.4
+	// rise bounds by how much of a class more is taken with each period; less is taken at once.
+	rise = 0.15
+	// full is the part from which a class counts as taken whole.
+	full = 0.995
+)
+
+// Next gives the posture that should take the place of the last, or nil while that may stand or another router's turn
+// is before ours.
+func (d *Decider) Next(v View, now time.Duration) *Posture {
+	m := v.Model.Filled()
+	fresh := d.fresh(v, m, now)
+	var last Posture
+	if v.Last != nil {
+		last = *v.Last
+	}
+	next := Posture{Seq: last.Seq + 1, Version: v.Version, By: d.Me}
+	next.Sites = d.judge.Step(m, last.Sites, v.Orders, fresh, now)
+	if d.Broken == NoPace {
+		for name, one := range next.Sites {
+			if one.State == Returning {
+				one.State, one.Ramp = Up, 1
+				next.Sites[name] = one
+			}
+		}
+	}
+	d.learn(m, last, fresh, now)
+	next.Bearing = d.bearing
+	next.plan(m, last, d.situation(m, next.Sites), d.Broken)
+	if v.Last != nil && !differs(last, next) {
+		d.waits = false
+		return nil
+	}
+	if !d.waits {
+		d.waits, d.due = true, now
+	}
+	if now < d.due+time.Duration(d.rank(fresh))*turn {
+		return nil
+	}
+	return &next
+}
+
+// fresh are the reports that were written anew not long ago, by this router's clock.
+func (d *Decider) fresh(v View, m Model, now time.Duration) (out []Report) {
+	if d.heard == nil {
+		d.heard = map[string]heard{}
+	}
+	for _, r := range v.Reports {
+		h := d.heard[r.Router]
+		if h.rev != r.Rev {
+			h = heard{r.Rev, now}
+			d.heard[r.Router] = h
+		}
+		if ms(now-h.at) <= freshFor*m.ReportMs {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b Report) int { return cmp.Compare(a.Router, b.Router) })
+	return out
+}
+
+// rank is a router's turn among those that report.
+func (d *Decider) rank(fresh []Report) int {
+	before := 0
+	weight := func(name string) uint64 { return xxhash.Sum64String("sites\x00" + name) }
+	for _, r := range fresh {
+		if r.Router != d.Me && weight(r.Router) < weight(d.Me) {
+			before++
+		}
+	}
+	return before
+}
+
+// learn keeps the demand, and how much sites carry against what was declared: less where what they were given comes
+// late, slowly more again where it does not.
+func (d *Decider) learn(m Model, last Posture, fresh []Report, now time.Duration) {
+	if d.demand == nil {
+		d.demand, d.bearing = map[string]map[string]float64{}, map[string]float64{}
+	}
+	if d.stepped > 0 && ms(now-d.stepped) < m.ReportMs {
+		return
+	}
+	d.stepped = now
+	for name, v := range last.Bearing { // another router may have known it longer
+		if _, known := d.bearing[name]; !known {
+			d.bearing[name] = v
+		}
+	}
+	offered := map[string]map[string]float64{}
+	seen := map[string]Seen{}
+	for _, r := range fresh {
+		for class, rate := range r.Offered {
+			if offered[class] == nil {
+				offered[class] = map[string]float64{}
+			}
+			offered[class][r.Site] += rate
+		}
+		for name, s := range r.Sees {
+			sum := seen[name]
+			sum.InTime, sum.Late = sum.InTime+s.InTime, sum.Late+s.Late
+			seen[name] = sum
+		}
+	}
+	for _, c := range m.Classes {
+		row := d.demand[c.Name]
+		if row == nil {
+			row = map[string]float64{}
+			d.demand[c.Name] = row
+		}
+		for _, s := range m.Sites {
+			row[s.Name] += smooth * (offered[c.Name][s.Name] - row[s.Name])
+		}
+	}
+	next := map[string]float64{}
+	for _, s := range m.Sites {
+		b := cmp.Or(d.bearing[s.Name], 1)
+		switch v, n := seen[s.Name], seen[s.Name].InTime+seen[s.Name].Late; {
+		case n >= least && float64(v.Late) > 0.05*float64(n):
+			b *= 1 - min(float64(v.Late)/float64(n), 0.5)/4
+		case n >= least && last.refuses():
+			b += 0.01
+		}
+		next[s.Name] = min(max(b, 0.3), 1.3)
+	}
+	d.bearing = next
+}
+
+func (p Posture) refuses() bool { return len(p.Admit) > 0 }
+
+// situation is what is to be planned for: the sites as judged, and what is asked now.
+func (d *Decider) situation(m Model, verdicts map[string]Verdict) Situation {
+	s := Situation{Cut: make([]bool, len(m.Sites))}
+	for i, site := range m.Sites {
+		v := verdicts[site.Name]
+		factor := v.Ramp
+		switch {
+		case v.Kind == CutOff && v.State != Up:
+			factor, s.Cut[i] = 1, true // its own routers go on
+		case v.State == Lost:
+			factor = 0
+		}
+		lates := 1.0
+		if v.State == Returning {
+			lates = late(v.Ramp)
+		}
+		s.Factor, s.Late = append(s.Factor, factor*(1-v.Gone)*cmp.Or(d.bearing[site.Name], 1)), append(s.Late, lates)
+	}
+	for _, c := range m.Classes {
+		var row []float64
+		for _, site := range m.Sites {
+			row = append(row, d.demand[c.Name][site.Name])
+		}
+		s.Demand = append(s.Demand, row)
+	}
+	return s
+}
+
+// plan fills in where work goes and how much is taken.
+func (p *Posture) plan(m Model, last Posture, s Situation, broken Fault) {
+	if broken == Reversed {
+		m.Classes = slices.Clone(m.Classes)
+		for k := range m.Classes {
+			m.Classes[k].Worth, m.Classes[k].Floor = 1/cmp.Or(m.Classes[k].Worth, 1), 0
+		}
+	}
+	calm := true
+	for _, v := range p.Sites {
+		calm = calm && v.State == Up && v.Kind != CutOff && v.Gone == 0
+	}
+	plan := Solve(m, s)
+	p.How = plan.How
+	for k, c := range m.Classes {
+		for from, site := range m.Sites {
+			admit := plan.Admit(k, from)
+			if before, limited := last.Admit[c.Name][site.Name]; limited && admit > before {
+				admit = min(admit, before+rise)
+			}
+			if admit >= full {
+				continue
+			}
+			if p.Admit == nil {
+				p.Admit = map[string]Rows{}
+			}
+			if p.Admit[c.Name] == nil {
+				p.Admit[c.Name] = Rows{}
+			}
+			p.Admit[c.Name][site.Name] = round(admit)
+		}
+	}
+	if calm && len(p.Admit) == 0 {
+		return // the module's own ways, as without a plan
+	}
+	p.Parts = map[string]Table{}
+	for k, c := range m.Classes {
+		p.Parts[c.Name] = Table{}
+		for from, site := range m.Sites {
+			row := Rows{}
+			parts := plan.Parts(k, from)
+			if slices.Max(parts) == 0 { // nothing is asked there just now, or nothing is taken: what comes goes where there is room
+				parts = s.idle(m, k, from)
+			}
+			for to, other := range m.Sites {
+				row[other.Name] = round(parts[to])
+			}
+			p.Parts[c.Name][site.Name] = row
+		}
+	}
+}
+
+// idle are the parts for a class that is not asked at a site: its own servers, or all that there are.
+func (s Situation) idle(m Model, k, from int) []float64 {
+	t := &task{m: m, s: s, grid: m.grid()}
+	for i, site := range m.Sites {
+		t.room = append(t.room, site.Capacity*s.Factor[i])
+		t.late = append(t.late, t.room[i]*s.Late[i])
+	}
+	out := make([]float64, len(m.Sites))
+	if t.way(k, from, from) {
+		out[from] = 1
+		return out
+	}
+	for to := range out {
+		if t.way(k, from, to) {
+			out[to] = t.room[to]
+		}
+	}
+	if sum := total(out); sum > 0 {
+		for to := range out {
+			out[to] /= sum
+		}
+	}
+	return out
+}
+
+func total(list []float64) (sum float64) {
+	for _, v := range list {
+		sum += v
+	}
+	return sum
+}
+
+func round(v float64) float64 { return math.Round(v*1000) / 1000 }
+
+// matters is by how much a figure must differ before a posture is written for it alone.
+const matters = 0.02
+
+// differs tells whether a posture says something new.
+func differs(a, b Posture) bool {
+	if a.Version != b.Version || len(a.Sites) != len(b.Sites) || len(a.Parts) != len(b.Parts) || len(a.Admit) != len(b.Admit) {
+		return true
+	}
+	for name, v := range b.Sites {
+		w := a.Sites[name]
+		if v.State != w.State || v.Kind != w.Kind || v.Losses != w.Losses || math.Abs(v.Ramp-w.Ramp) > matters || (v.Ramp == 1) != (w.Ramp == 1) || math.Abs(v.Gone-w.Gone) > matters {
+			return true
+		}
+	}
+	for class, rows := range b.Admit {
+		if differ(a.Admit[class], rows, 1) {
+			return true
+		}
+	}
+	for class, table := range b.Parts {
+		for from, rows := range table {
+			if differ(a.Parts[class][from], rows, 0) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func differ(a, b Rows, absent float64) bool {
+	for _, pair := range [][2]Rows{{a, b}, {b, a}} {
+		for name, v := range pair[0] {
+			w, there := pair[1][name]
+			if !there {
+				w = absent
+			}
+			if math.Abs(v-w) > matters || (v == 0) != (w == 0) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/sites/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package sites
+
+const raced = true
--- /dev/null
+++ b/internal/sites/solve_test.go
@@ -0,0 +1,242 @@
+package sites
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// three is the fleet of the issue: three sites of two servers of 40 answers a second, queries worth 3 and filings 2.
+func three() Model {
+	m := Model{Classes: []Class{{Name: "query", Worth: 3}, {Name: "filing", Worth: 2, Floor: 0.1, Last: true}}}
+	for _, name := range []string{"a", "b", "c"} {
+		m.Sites = append(m.Sites, Site{Name: name, Capacity: 80, Servers: 2, Routers: 2, Members: 2, Demand: map[string]float64{"query": 30, "filing": 20}})
+	}
+	m.Sites[2].Members = 1
+	return m
+}
+
+func near(a, b float64) bool { return math.Abs(a-b) <= 1e-6*max(1, math.Abs(a), math.Abs(b)) }
+
+func TestAllServedWhereTheyArriveWhileThereIsRoom(t *testing.T) {
+	m := three()
+	p := Solve(m, m.Declared())
+	for k := range m.Classes {
+		for from := range m.Sites {
+			if p.Admit(k, from) < 1-1e-6 || !near(p.Flow[k][from][from], p.Asked[k][from]) {
+				t.Errorf("class %d of site %d: %v", k, from, p.Flow[k][from])
+			}
+		}
+	}
+	if p.How != "lp" {
+		t.Error(p.How)
+	}
+}
+
+// At 150% of what two sites carry queries are all served, and filings have what is left and never less than their floor.
+func TestLossAtPeakRefusesTheLesserWorth(t *testing.T) {
+	m := three()
+	s := m.Declared().Without(m, "a")
+	for k, d := range []float64{60, 54} { // 228 a second in all; 152 can be given away
+		s.Demand[k] = []float64{0, d * 2, d * 2}
+	}
+	p := Solve(m, s)
+	if got := p.Served(0); !near(got, 152-0.1*216) {
+		t.Errorf("queries: %g of 240 served, filings %g of 216", got, p.Served(1))
+	}
+	if got := p.Served(1); !near(got, 21.6) {
+		t.Errorf("filings: %g, their floor is 21.6", got)
+	}
+	for k := range m.Classes {
+		if p.Parts(k, 1)[0] != 0 {
+			t.Error("the lost site is given work")
+		}
+	}
+}
+
+// Placement, a link's bound, a site that is cut off, and one that returns: each is kept to.
+func TestBounds(t *testing.T) {
+	m := three()
+	m.Classes[0].Places = []string{"a", "b"}
+	m.Links = []Link{{From: "a", To: "b", Rate: 5, Both: true}, {From: "b", To: "c", Both: true}, {From: "c", To: "a"}}
+	s := m.Declared().Without(m, "a")
+	p := Solve(m, s)
+	if p.Flow[0][2][2] != 0 || p.Flow[0][1][2] != 0 {
+		t.Error("queries of this registry may not go to c:", p.Flow[0])
+	}
+	s.Demand[0], s.Demand[1] = []float64{50, 0, 0}, []float64{0, 0, 0}
+	if p = Solve(m, s); !near(p.Served(0), 5) {
+		t.Errorf("%g over a link that bears 5", p.Served(0))
+	}
+	m = three()
+	s = m.Declared()
+	s.Cut = []bool{false, true, false}
+	s.Demand[0][1] = 200
+	if p = Solve(m, s); !near(p.Flow[0][1][1]+p.Flow[1][1][1], 76) || p.Flow[0][1][0]+p.Flow[0][0][1] != 0 {
+		t.Error("a site that is cut off serves its own and nobody else:", p.Flow)
+	}
+	s = m.Declared()
+	s.Factor[0], s.Late[0] = 0.3, 0
+	s.Demand[0], s.Demand[1] = []float64{60, 50, 50}, []float64{20, 20, 20}
+	if p = Solve(m, s); p.Flow[1][0][0]+p.Flow[1][1][0]+p.Flow[1][2][0] != 0 || p.Flow[0][0][0] > 80*0.95*0.3*(1+1e-6) {
+		t.Error("a site that returns is given what it does not bear yet:", p.Flow)
+	}
+}
+
+// fleetOf draws a fleet.
+func fleetOf(t *rapid.T, sites, classes int) (Model, Situation) {
+	m := Model{}
+	for i := range sites {
+		m.Sites = append(m.Sites, Site{Name: fmt.Sprint("s", i), Capacity: rapid.Float64Range(0, 100).Draw(t, "capacity"), Demand: map[string]float64{}})
+	}
+	for k := range classes {
+		c := Class{Name: fmt.Sprint("c", k), Worth: rapid.Float64Range(0.5, 5).Draw(t, "worth"), Work: rapid.Float64Range(0.2, 3).Draw(t, "work"),
+			Floor: rapid.SampledFrom([]float64{0, 0, 0.1, 0.3}).Draw(t, "floor"), Last: rapid.Bool().Draw(t, "last")}
+		for i := range m.Sites {
+			if rapid.IntRange(0, 9).Draw(t, "place") == 0 {
+				c.Places = append(c.Places, m.Sites[i].Name)
+			}
+			m.Sites[i].Demand[c.Name] = rapid.SampledFrom([]float64{0, 1, 10, 40}).Draw(t, "demand")
+		}
+		m.Classes = append(m.Classes, c)
+	}
+	for range rapid.IntRange(0, 1).Draw(t, "bounded") * sites {
+		m.Links = append(m.Links, Link{From: m.Sites[rapid.IntRange(1, sites-1).Draw(t, "from")].Name, To: m.Sites[0].Name, Cost: rapid.Float64Range(0, 4).Draw(t, "cost"), Rate: rapid.Float64Range(0, 50).Draw(t, "rate"), Both: true})
+	}
+	s := m.Declared()
+	for i := range m.Sites {
+		s.Factor[i] = rapid.SampledFrom([]float64{0, 0.3, 1, 1, 1}).Draw(t, "factor")
+		s.Late[i] = rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "late")
+	}
+	return m, s
+}
+
+func (m Model) task(s Situation) *task {
+	m = m.Filled()
+	out := &task{m: m, s: s, grid: m.grid()}
+	for i, site := range m.Sites {
+		out.room = append(out.room, site.Capacity*(1-m.Reserve)*s.Factor[i])
+		out.late = append(out.late, out.room[i]*s.Late[i])
+	}
+	for k := range m.Classes {
+		out.order = append(out.order, k)
+	}
+	return out
+}
+
+// Whatever the fleet, each way of planning keeps every bound; the program serves no less than the rule, and equal
+// inputs give equal plans.
+func TestPlansAreSound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, s := fleetOf(t, rapid.IntRange(2, 6).Draw(t, "sites"), rapid.IntRange(1, 5).Draw(t, "classes"))
+		at := m.task(s)
+		whole, err := at.whole()
+		if err == nil {
+			if err := at.sound(whole); err != nil {
+				t.Fatal("whole:", err)
+			}
+		}
+		parts, perr := at.parts()
+		if perr == nil {
+			if err := at.sound(parts); err != nil {
+				t.Fatal("parts:", err)
+			}
+		}
+		rule := at.rule()
+		if err := at.sound(rule); err != nil {
+			t.Fatal("rule:", err)
+		}
+		if floors := floorsMissed(m, s, whole); err == nil && whole.Worth(m) < rule.Worth(m)*(1-1e-3)-1e-3 && floors >= floorsMissed(m, s, rule)-1e-6 {
+			t.Fatalf("the program serves %g, the rule %g", whole.Worth(m), rule.Worth(m))
+		}
+		if !reflect.DeepEqual(Solve(m, s), Solve(m, s)) {
+			t.Fatal("two plans of one fleet differ")
+		}
+	})
+}
+
+func floorsMissed(m Model, s Situation, p Plan) (sum float64) {
+	if p.Flow == nil {
+		return 0
+	}
+	p.Asked = s.Demand
+	for k, c := range m.Classes {
+		sum += max(c.Floor*p.asked(k)-p.served(k), 0)
+	}
+	return sum
+}
+
+// A fleet of 20 sites, 10 classes and 500 servers is planned for in 100 ms, and not by the rule.
+func TestPlanInTime(t *testing.T) {
+	m, s := large()
+	for i := range 5 {
+		began := time.Now()
+		p := Solve(m, s.Without(m, m.Sites[i].Name))
+		if took := time.Since(began); took > 100*time.Millisecond && !raced {
+			t.Errorf("loss of %s: %v", m.Sites[i].Name, took)
+		}
+		if p.How != "lp by parts" {
+			t.Error(p.How)
+		}
+	}
+}
+
+func large() (Model, Situation) {
+	m := Model{}
+	for k := range 10 {
+		m.Classes = append(m.Classes, Class{Name: fmt.Sprint("c", k), Worth: 1 + float64(k)/3, Work: 0.5 + float64(k%4), Floor: 0.05 * float64(k%3), Last: k%2 == 1})
+	}
+	for i := range 20 {
+		s := Site{Name: fmt.Sprint("s", i), Servers: 25, Capacity: 25 * (30 + float64(i)), Demand: map[string]float64{}}
+		for k := range 10 {
+			s.Demand[m.Classes[k].Name] = 20 + float64((7*i+3*k)%30)
+		}
+		m.Sites = append(m.Sites, s)
+	}
+	return m, m.Declared()
+}
+
+func BenchmarkPlan(b *testing.B) {
+	m, s := large()
+	s = s.Without(m, "s3")
+	for b.Loop() {
+		Solve(m, s)
+	}
+}
+
+func TestCheck(t *testing.T) {
+	for want, change := range map[string]func(*Model){
+		`sites.site[1].name: "a" is missing or there twice`:   func(m *Model) { m.Sites[1].Name = "a" },
+		`sites.class[0].places: no site is named "x"`:         func(m *Model) { m.Classes[0].Places = []string{"x"} },
+		`sites.link[0].to: no site is named "x"`:              func(m *Model) { m.Links = []Link{{From: "a", To: "x"}} },
+		`sites.class[1].floor: 1 of "filing" can't be kept`:   func(m *Model) { m.Classes[1].Floor = 1; m.Sites[0].Demand["filing"] = 900 },
+		`sites.reserve: 2, must be from 0 to 0.9`:             func(m *Model) { m.Reserve = 2 },
+		`sites.site[0].demand.x: 1; the class is not in`:      func(m *Model) { m.Sites[0].Demand["x"] = 1 },
+		`sites.site: at least two are needed`:                 func(m *Model) { m.Sites = m.Sites[:1] },
+		`sites.class[0].work: -1, must be positive`:           func(m *Model) { m.Classes[0].Work = -1 },
+		`sites.site[2].capacity: -1, must not be negative`:    func(m *Model) { m.Sites[2].Capacity = -1 },
+		`sites.cold_share: 7, must be from 0.01 to 1`:         func(m *Model) { m.ColdShare = 7 },
+		`sites.link[0]: it leads from a site to itself, or i`: func(m *Model) { m.Links = []Link{{From: "a", To: "a"}} },
+	} {
+		m := three()
+		change(&m)
+		if _, err := m.Check(); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%v, want %s", err, want)
+		}
+	}
+	m := three()
+	if warnings, err := m.Check(); err != nil || len(warnings) > 0 {
+		t.Error(warnings, err)
+	}
+	m.Sites[0].Members = 5
+	m.Classes[1].Places = []string{"b"}
+	warnings, err := m.Check()
+	if err != nil || len(warnings) != 2 || !strings.Contains(warnings[0], `"a" holds 5 of 8 members`) || !strings.Contains(warnings[1], `with site "b" lost nothing of class "filing"`) {
+		t.Error(warnings, err)
+	}
+}
--- /dev/null
+++ b/internal/sites/verdict.go
@@ -0,0 +1,236 @@
+package sites
+
+import (
+	"fmt"
+	"time"
+)
+
+// State is what the fleet holds a site for.
+type State string
+
+// The states of a site.
+const (
+	Up        State = "up"
+	Suspect   State = "suspect"   // seen as dead, not for long enough
+	Lost      State = "lost"      // nothing goes there
+	Returning State = "returning" // it is given work again a part at a time
+)
+
+// Kind tells what of a site is gone.
+type Kind string
+
+// The kinds of a loss.
+const (
+	None        Kind = ""
+	HalfCut     Kind = "half cut"     // some routers reach its servers, others don't: it is not lost
+	CutOff      Kind = "cut off"      // its own routers reach its servers, no others do
+	ServersGone Kind = "servers gone" // its routers report, its servers answer nobody
+	RoutersGone Kind = "routers gone" // its servers answer, its routers don't report: it is not lost
+	WholeGone   Kind = "whole gone"   // neither is heard
+)
+
+// Seen is what one router saw of one site's servers since its last report.
+type Seen struct {
+	Tried  int `json:"tried"`            // probes and attempts that ended
+	OK     int `json:"ok"`               // of them answered, whatever the answer
+	InTime int `json:"in_time"`          // requests whose answer began within the aim
+	Late   int `json:"late"`             // and those whose did not, or that failed
+	Ready  int `json:"ready"`            // servers that the list has for it
+	Silent int `json:"silent,omitempty"` // of Tried that ended without a word, for people
+}
+
+// Report is what one router says of the time since its last one.
+type Report struct {
+	Router string          `json:"router"`
+	Boot   string          `json:"boot"`
+	Site   string          `json:"site"`
+	Sees   map[string]Seen `json:"sees"`
+	// Offered is what came to it, by class, in requests a second.
+	Offered map[string]float64 `json:"offered"`
+	Stopped bool               `json:"stopped,omitempty"` // it ends, or did not run for a while: what it saw says nothing
+	Rev     int64              `json:"-"`                 // the store's revision of the report
+}
+
+// Orders are what an operator has said of a site.
+type Orders struct {
+	Lose bool    `json:"lose,omitempty"` // it counts as lost whatever is seen
+	Hold bool    `json:"hold,omitempty"` // it does not return, or returns no further
+	Pace float64 `json:"pace,omitempty"` // it is given this part at most; 0: as it bears
+}
+
+// Verdict is what the fleet has agreed on about a site.
+type Verdict struct {
+	State  State   `json:"state"`
+	Kind   Kind    `json:"kind,omitempty"`
+	Reason string  `json:"reason,omitempty"`
+	Ramp   float64 `json:"ramp"`             // the part of its capacity that it is given
+	Losses int     `json:"losses,omitempty"` // within the time in which they count as flapping
+	Gone   float64 `json:"gone,omitempty"`   // of its servers that the list no longer has, as a part
+}
+
+// evidence is what all reports say of a site at one moment.
+type evidence struct {
+	dead   bool
+	alive  bool
+	kind   Kind
+	reason string
+	seen   Seen // summed over the routers that see it
+	ready  int  // servers, as the router says that has the most
+}
+
+// weigh reads the reports: those of the site's own routers apart from the others'. One router's word alone is not
+// enough where more are there to be asked.
+func weigh(site string, routers int, reports []Report) evidence {
+	var e evidence
+	inside, insideOK, outside, reached, missed := 0, 0, 0, 0, 0
+	for _, r := range reports {
+		seen, looked := r.Sees[site]
+		if r.Stopped {
+			continue
+		}
+		if r.Site == site {
+			inside++
+		}
+		if !looked || seen.Tried == 0 {
+			continue
+		}
+		e.seen.Tried, e.seen.OK = e.seen.Tried+seen.Tried, e.seen.OK+seen.OK
+		e.seen.InTime, e.seen.Late = e.seen.InTime+seen.InTime, e.seen.Late+seen.Late
+		e.ready = max(e.ready, seen.Ready)
+		switch {
+		case r.Site == site && seen.OK > 0:
+			insideOK++
+		case r.Site == site:
+		case seen.OK > 0:
+			outside++
+			reached++
+		default:
+			outside++
+			missed++
+		}
+	}
+	gone := routers > 0 && inside == 0
+	switch {
+	case reached > 0 && missed > 0:
+		e.alive, e.kind = true, HalfCut
+	case reached > 0 && gone:
+		e.alive, e.kind = true, RoutersGone
+	case reached > 0 || (outside == 0 && insideOK > 0):
+		e.alive = true
+	case missed == 0 && insideOK == 0 && inside == 0:
+		// nobody looked
+	case missed > 0 && insideOK > 0:
+		e.dead, e.kind = true, CutOff
+	case missed > 0 && gone:
+		e.dead, e.kind = true, WholeGone
+	case missed > 0 || inside > 0:
+		e.dead, e.kind = true, ServersGone
+	}
+	e.reason = fmt.Sprintf("%d of %d routers elsewhere reach it, %d of its own", reached, outside, insideOK)
+	return e
+}
+
+// judged is what a judge remembers of a site.
+type judged struct {
+	since    time.Duration // the evidence has been what it is
+	dead     bool
+	alive    bool
+	lastLoss time.Duration
+	pace     Pace
+}
+
+// Judge comes to verdicts. Each router may keep one; what it remembers is its own, so one that begins anew waits for
+// as long as any other before it says that a site is lost. Use its zero value with Step.
+type Judge struct{ sites map[string]*judged }
+
+// Step gives the verdicts that follow from the reports, which must all be fresh, at a time.
+func (j *Judge) Step(m Model, last map[string]Verdict, orders map[string]Orders, reports []Report, now time.Duration) map[string]Verdict {
+	m = m.Filled()
+	if j.sites == nil {
+		j.sites = map[string]*judged{}
+	}
+	out := map[string]Verdict{}
+	for _, s := range m.Sites {
+		g := j.sites[s.Name]
+		if g == nil {
+			g = &judged{since: now, lastLoss: now}
+			j.sites[s.Name] = g
+		}
+		before, known := last[s.Name]
+		if !known {
+			before = Verdict{State: Up, Ramp: 1}
+		}
+		out[s.Name] = g.step(m, s, before, orders[s.Name], weigh(s.Name, s.Routers, reports), now)
+	}
+	return out
+}
+
+// maxDoublings bounds how much longer a site that flaps must be seen alive.
+const maxDoublings = 5
+
+func (g *judged) step(m Model, s Site, v Verdict, o Orders, e evidence, now time.Duration) Verdict {
+	if e.dead != g.dead || e.alive != g.alive {
+		g.dead, g.alive, g.since = e.dead, e.alive, now
+	}
+	held := ms(now - g.since)
+	if v.State == Lost {
+		g.lastLoss = now
+	}
+	if v.Losses > 0 && v.State == Up && ms(now-g.lastLoss) > m.FlapMs {
+		v.Losses = 0
+	}
+	lose := func(kind Kind, reason string) Verdict {
+		if v.State != Lost {
+			v.Losses, g.lastLoss = v.Losses+1, now
+		}
+		return Verdict{State: Lost, Kind: kind, Reason: reason, Losses: v.Losses}
+	}
+	if o.Lose {
+		return lose(v.Kind, "an operator has declared it lost")
+	}
+	if s.Servers > 0 && e.ready > 0 {
+		v.Gone = max(1-float64(e.ready)/float64(s.Servers), 0)
+	}
+	switch v.State {
+	case Lost:
+		back := m.BackAfterMs * float64(int(1)<<min(max(v.Losses-1, 0), maxDoublings))
+		switch {
+		case e.dead:
+			v.Kind, v.Reason = e.kind, e.reason
+		case e.alive && held >= back && !o.Hold:
+			g.pace = Pace{}
+			v.State, v.Kind, v.Ramp = Returning, e.kind, g.pace.Start(m)
+			v.Reason = fmt.Sprintf("%s for %.1f s", e.reason, held/1000)
+		}
+	case Returning:
+		switch {
+		case e.dead && held >= m.LostAfterMs/2: // it was lost a moment ago: less is needed to say so again
+			return lose(e.kind, e.reason)
+		case e.dead:
+			v.Reason = e.reason
+		default:
+			v.Kind = e.kind
+			v.Ramp, v.Reason = g.pace.Next(m, v.Ramp, e.seen, o, now)
+			if v.Ramp >= 1 {
+				v.State, v.Ramp, v.Reason = Up, 1, "it carries its whole part again"
+			}
+		}
+	default:
+		switch {
+		case e.dead && held >= m.LostAfterMs:
+			return lose(e.kind, e.reason)
+		case e.dead:
+			v.State, v.Kind, v.Reason = Suspect, e.kind, e.reason
+		case e.alive:
+			v.State, v.Kind, v.Ramp = Up, e.kind, 1
+			if v.Kind == None {
+				v.Reason = ""
+			} else {
+				v.Reason = e.reason
+			}
+		}
+	}
+	return v
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/siting/fault.go
@@ -0,0 +1,5 @@
+//go:build !broken
+
+package siting
+
+const broken = false
--- /dev/null
+++ b/internal/siting/meter.go
@@ -0,0 +1,83 @@
+// Package siting carries the plan for the loss of a site between the store and a router: what the router sees of each
+// site goes into the store as its report, and the posture that the fleet has agreed on reaches the decision module as
+// weights of servers and parts of classes that are taken. What is decided about sites is decided in internal/sites.
+package siting
+
+import (
+	"sync"
+
+	"sumacloft/internal/sites"
+)
+
+// meter counts what this router takes and sees between two reports.
+type meter struct {
+	mu      sync.Mutex
+	offered map[string]int
+	seen    map[string]sites.Seen
+	known   [2]map[uint64]bool // sessions that were taken lately, in two generations
+	under   float64            // the part of arrivals that belong to them
+}
+
+// sessions bounds a generation of sessions that are remembered.
+const sessions = 1 << 16
+
+// underWeight is the weight of an arrival in the mean.
+const underWeight = 0.02
+
+func newMeter() *meter {
+	return &meter{offered: map[string]int{}, seen: map[string]sites.Seen{}, known: [2]map[uint64]bool{{}, {}}}
+}
+
+// arrived counts a request and gives its rank: sessions under way come before new ones, and among either one session's
+// requests have one rank, so that what is taken of it is taken whole.
+func (m *meter) arrived(class string, session uint64) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.offered[class]++
+	known := m.known[0][session] || m.known[1][session]
+	if known {
+		m.under += underWeight * (1 - m.under)
+	} else {
+		m.under -= underWeight * m.under
+	}
+	draw := spread(session)
+	if known {
+		return m.under * draw
+	}
+	return m.under + (1-m.under)*draw
+}
+
+// took remembers a session that is under way.
+func (m *meter) took(session uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.known[0]) >= sessions {
+		m.known = [2]map[uint64]bool{{}, m.known[0]}
+	}
+	m.known[0][session] = true
+}
+
+func (m *meter) saw(site string, change func(*sites.Seen)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.seen[site]
+	change(&s)
+	m.seen[site] = s
+}
+
+// cut gives what was counted, and begins anew.
+func (m *meter) cut() (offered map[string]int, seen map[string]sites.Seen) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	offered, seen = m.offered, m.seen
+	m.offered, m.seen = map[string]int{}, map[string]sites.Seen{}
+	return offered, seen
+}
+
+// spread hashes a session to a number from 0 to 1 (splitmix64's finalizer).
+func spread(x uint64) float64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return float64((x^x>>31)>>11) / (1 << 53)
+}
