Sites: sumactl site, emulated servers, a laboratory that loses a site; verdicts' models

Three sites of two routers and two emulated servers each, five members of the store, one site lost at 150% of what the rest carries. What was seen and mended on the way: a rank that was not even among sessions under way took too little; what queued up until the verdict kept all later answers late, so a loss has it drain first; the simplex's corner refused all at one site and none at another; a router whose file was faulty went unnoticed by the laboratory. No filing ran twice, no server fell.

--- a/cmd/sumactl/main.go
+++ b/cmd/sumactl/main.go
@@ -37,6 +37,7 @@
 	Policy  policyLine  `cmd:"" help:"The fleet's policy: what all routers decide alike."`
 	Routers routersLine `cmd:"" help:"The routers that follow the policy."`
 	Work    workLine    `cmd:"" help:"Requests in hand, of the classes that have handover."`
+	Site    siteLine    `cmd:"" help:"The plan for the loss of a site: what holds, what would, and what is ordered."`
 
 	Get     getLine     `cmd:"" help:"Print a value."`
 	Put     putLine     `cmd:"" help:"Set a value."`
--- /dev/null
+++ b/cmd/sumalab/site.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"sumacloft/internal/emu"
+	"sumacloft/internal/lab"
+)
+
+type serverLine struct {
+	Listen string `help:"Where it serves." required:""`
+	Log    string `help:"The file to which it writes what it begins to run." required:""`
+	Cold   bool   `help:"It has just started; otherwise it is warm."`
+}
+
+// emulated are the settings of the emulated servers: 40 answers a second each.
+var emulated = emu.Settings{Slots: 8, Service: 200 * time.Millisecond, Queue: 60, Keys: 1000, Hit: 0, Warm: 6 * time.Second, Cold: 0.3,
+	Over: 2.5, OverFor: 1500 * time.Millisecond, Away: 3 * time.Second}
+
+// Run serves until it is ended.
+func (l *serverLine) Run(ctx context.Context) error {
+	f, err := os.OpenFile(l.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	var mu sync.Mutex
+	write := func(line string) {
+		mu.Lock()
+		defer mu.Unlock()
+		_, _ = f.WriteString(line + "\n") // a missing line shows as a request that did not run
+	}
+	h := emu.NewHandler(emulated, !l.Cold, write)
+	falls := 0
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		defer func() {
+			if n := h.Falls(); n > falls {
+				falls = n
+				write(lab.Fell)
+			}
+		}()
+		h.ServeHTTP(w, req)
+	})}
+	listener, err := net.Listen("tcp", l.Listen)
+	if err != nil {
+		return errors.Join(err, f.Close())
+	}
+	go func() { <-ctx.Done(); _ = server.Close() }()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return f.Close()
+}
+
+type siteLine struct {
+	Seed     uint64  `help:"Of the clients." default:"1"`
+	Files    bool    `help:"Keep the fleet's files and logs."`
+	NoPlan   bool    `help:"Without [sites]: each router finds out by itself."`
+	Declared float64 `help:"What the plan says that a site carries; its servers carry 80." default:"80"`
+	common
+}
+
+// phaseShown is what became of a phase's requests.
+type phaseShown struct {
+	Phase  string      `json:"phase"`
+	Rate   float64     `json:"asked_per_s"`
+	Worth  float64     `json:"worth_per_s"`
+	Best   float64     `json:"best_worth_per_s"`
+	Query  lab.Share   `json:"query"`
+	Filing lab.Share   `json:"filing"`
+	Each   []lab.Share `json:"-"`
+}
+
+// Run loses a site and has it return.
+func (l *siteLine) Run(ctx context.Context, out io.Writer) error {
+	dir, err := os.MkdirTemp("", "sumalab")
+	if err != nil {
+		return err
+	}
+	if l.Files {
+		fmt.Fprintln(os.Stderr, "files and logs:", dir)
+	} else {
+		defer os.RemoveAll(dir)
+	}
+	plan := lab.SitePlan(l.Declared)
+	if l.NoPlan {
+		plan = ""
+	}
+	day, err := lab.LoseASite(ctx, lab.Options{Dir: dir, Bin: l.Bin, Seed: l.Seed}, plan, func(text string) { fmt.Fprintln(os.Stderr, text) })
+	if err != nil {
+		return err
+	}
+	t := table.NewWriter()
+	t.SetStyle(table.StyleLight)
+	t.AppendHeader(table.Row{"phase", "asked/s", "worth/s in time", "of at best", "queries in time", "refused once", "refused", "failed", "filings in time", "refused once", "refused", "failed"})
+	for _, p := range day.Phases {
+		q, f := p.Shares["query"], p.Shares["filing"]
+		t.AppendRow(table.Row{p.Name, fmt.Sprintf("%.0f", p.Rate), fmt.Sprintf("%.0f", p.Worth), fmt.Sprintf("%.2f", p.Worth/p.Best),
+			fmt.Sprintf("%.3f", q.Served), fmt.Sprintf("%.3f", q.RefusedAtOncePart), fmt.Sprintf("%.3f", q.RefusedPart), q.Failed,
+			fmt.Sprintf("%.3f", f.Served), fmt.Sprintf("%.3f", f.RefusedAtOncePart), fmt.Sprintf("%.3f", f.RefusedPart), f.Failed})
+	}
+	return l.show(out, day, t.Render()+fmt.Sprintf("\nback at 95%% of what the rest carries %.1f s after the loss; filings run twice: %d; servers pushed over: %d; requests without an answer: %d\n", day.BackS, day.Twice, day.Falls, day.Silent))
+}
--- /dev/null
+++ b/internal/emu/handler.go
@@ -0,0 +1,124 @@
+package emu
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Handler serves a server in real time, as a chat server does. Each request that it begins to run is told to ran with
+// the content of its last message, before anything else.
+type Handler struct {
+	zero time.Time
+	ran  func(id string)
+
+	mu     sync.Mutex
+	server *Server
+	last   uint64
+	waits  map[uint64]chan bool // false: it fell with the server
+	timer  *time.Timer
+}
+
+// NewHandler makes a handler for a server that starts now.
+func NewHandler(set Settings, warm bool, ran func(id string)) *Handler {
+	started := time.Duration(0)
+	if warm {
+		started = -set.Warm
+	}
+	h := &Handler{zero: time.Now(), ran: ran, server: New(set, started), waits: map[uint64]chan bool{}}
+	h.timer = time.AfterFunc(time.Hour, h.fire)
+	return h
+}
+
+func (h *Handler) now() time.Duration { return time.Since(h.zero) }
+
+// fire ends what is due.
+func (h *Handler) fire() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.advance()
+}
+
+// advance ends what has run and sets the timer for the next; the lock is held.
+func (h *Handler) advance() {
+	for _, d := range h.server.Advance(h.now()) {
+		if c := h.waits[d.ID]; c != nil {
+			c <- true
+			delete(h.waits, d.ID)
+		}
+	}
+	if at, any := h.server.Next(); any {
+		h.timer.Reset(max(at-h.now(), 0))
+	}
+}
+
+// ServeHTTP serves http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Path == "/health" {
+		h.mu.Lock()
+		away := h.now() < h.server.away
+		h.mu.Unlock()
+		if away {
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
+	var body struct {
+		Messages []struct {
+			Content string `json:"content"`
+		} `json:"messages"`
+	}
+	data, err := io.ReadAll(io.LimitReader(req.Body, 1<<20))
+	if err != nil || json.Unmarshal(data, &body) != nil || len(body.Messages) == 0 {
+		http.Error(w, "unreadable", http.StatusBadRequest)
+		return
+	}
+	key := fnv.New64a()
+	_, _ = key.Write([]byte(body.Messages[0].Content)) // never fails
+	done := make(chan bool, 1)
+	h.mu.Lock()
+	h.advance()
+	h.last++
+	id, falls := h.last, h.server.Falls
+	fate := h.server.Offer(h.now(), id, 1, key.Sum64())
+	switch {
+	case h.server.Falls > falls: // all that it had is lost
+		for _, c := range h.waits {
+			c <- false
+		}
+		clear(h.waits)
+	case fate == Taken:
+		h.ran(body.Messages[len(body.Messages)-1].Content)
+		h.waits[id] = done
+		h.advance()
+	}
+	h.mu.Unlock()
+	switch fate {
+	case Full:
+		w.Header().Set("Not-Started", "1")
+		http.Error(w, "full", http.StatusServiceUnavailable)
+		return
+	case Fell, Absent:
+		panic(http.ErrAbortHandler)
+	}
+	select {
+	case whole := <-done:
+		if !whole {
+			panic(http.ErrAbortHandler)
+		}
+	case <-req.Context().Done():
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, `{"object":"chat.completion","choices":[]}`) // a client that has left is no matter
+}
+
+// Falls tells how often the server fell over.
+func (h *Handler) Falls() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.server.Falls
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -47,8 +47,25 @@
 	Clients int
 	// Answers is how a stand-in server answers; nil: at once, with a few bytes.
 	Answers http.Handler
+	// Sites are the names of sites, over which daemons and servers are spread in equal parts, in order; none: there are
+	// no zones. Members is how many daemons hold a member of the store, each of a site in turn; 0: all.
+	Sites   []string
+	Members int
+	// Addrs are where the servers listen, in the place of stand-ins in this process.
+	Addrs []string
 }
 
+// site is the site of the i-th of n daemons or servers.
+func (o Options) site(i, n int) string {
+	if len(o.Sites) == 0 {
+		return ""
+	}
+	return o.Sites[i*len(o.Sites)/n]
+}
+
+// member tells whether the i-th daemon holds a member of the store: the last daemons do not.
+func (o Options) member(i int) bool { return o.Members == 0 || i < o.Members }
+
 // Daemon is one daemon of a fleet, through its restarts.
 type Daemon struct {
 	Name   string
@@ -116,7 +133,8 @@
 		f.Daemons = append(f.Daemons, d)
 	}
 	var backs []string
-	for range f.o.Servers {
+	backs = append(backs, f.o.Addrs...)
+	for range f.o.Servers - len(f.o.Addrs) {
 		l, err := f.host.Listen()
 		if err != nil {
 			return err
@@ -167,16 +185,35 @@
 	var b strings.Builder
 	p := func(format string, args ...any) { _, _ = fmt.Fprintf(&b, format+"\n", args...) }
 	p("name = %q\nlisten = %q\n[limits]\ncores = 1\nmemory_mb = 192\nsockets = 4096", d.Name, d.Listen)
-	p("[chat]\n%s", cmp.Or(f.o.Classes, "[[chat.class]]\nname = \"query\"\nmodels = [\"query\"]\neffect = \"safe\"\ndeadline_ms = 2000"))
+	at := slices.Index(f.Daemons, d)
+	p("[chat]")
+	if len(f.o.Sites) > 0 {
+		p("zone = %q\nzones = [\"%s\"]", f.o.site(at, f.o.Daemons), strings.Join(f.o.Sites, "\", \""))
+	}
+	p("%s", cmp.Or(f.o.Classes, "[[chat.class]]\nname = \"query\"\nmodels = [\"query\"]\neffect = \"safe\"\ndeadline_ms = 2000"))
 	for i := range f.o.Servers {
-		p("[[chat.server]]\nid = %q\naddr = %q", serverName(i), f.back[[2]string{d.Name, serverName(i)}].Addr())
+		p("[[chat.server]]\nid = %q\naddr = %q\nzone = %q", serverName(i), f.back[[2]string{d.Name, serverName(i)}].Addr(), f.o.site(i, f.o.Servers))
 	}
 	p("[members]\nprefix = \"/sumacloft/members/%s/\"", d.Name) // each reaches the servers by links of its own
+	policy := fmt.Sprintf("[policy]\nlease_s = %d\non_lapse = %q\nheader = true\n%s\n%s", f.o.LeaseS, f.o.OnLapse, f.o.Policy, f.o.File)
+	if !f.o.member(at) {
+		var ends []string
+		for i, o := range f.Daemons {
+			if f.o.member(i) {
+				ends = append(ends, f.store[[2]string{d.Name, o.Name}][1].Addr())
+			}
+		}
+		p("[store]\ndir = %q\n%s", d.dir, strings.Replace(policy, "[policy]", fmt.Sprintf("[policy]\nname = %q\nendpoints = [\"%s\"]", d.Name, strings.Join(ends, "\", \"")), 1))
+		return b.String()
+	}
 	p("[store]\nid = %q\ndir = %q\nheartbeat_ms = 200", d.Name, d.dir)
 	if !f.o.Calm {
 		p("snapshot_entries = 60\nsnapshot_ms = 400")
 	}
-	for _, o := range f.Daemons {
+	for i, o := range f.Daemons {
+		if !f.o.member(i) {
+			continue
+		}
 		raft, client := o.Raft, o.Client
 		if o != d {
 			links := f.store[[2]string{d.Name, o.Name}]
@@ -184,7 +221,7 @@
 		}
 		p("[[store.peer]]\nid = %q\nraft = %q\nclient = %q", o.Name, raft, client)
 	}
-	p("[policy]\nlease_s = %d\non_lapse = %q\nheader = true\n%s\n%s", f.o.LeaseS, f.o.OnLapse, f.o.Policy, f.o.File)
+	p("%s", policy)
 	return b.String()
 }
 
@@ -390,7 +427,15 @@
 			return err
 		}
 	}
-	return f.Ready(ctx, 20*time.Second)
+	if err := f.Ready(ctx, 20*time.Second); err != nil {
+		return err
+	}
+	for _, d := range f.Daemons {
+		if !d.Running() {
+			return fmt.Errorf("%s has ended: see %s", d.Name, filepath.Join(f.o.Dir, d.Name+".log"))
+		}
+	}
+	return nil
 }
 
 // Ready waits until every daemon that runs is ready.
--- a/internal/sites/decide.go
+++ b/internal/sites/decide.go
@@ -49,8 +49,11 @@
 	bearing map[string]float64
 	demand  map[string]map[string]float64 // by class and site, smoothed
 	stepped time.Duration
+	settled time.Duration // until then the times of answers are a change's
 	due     time.Duration // since when a posture has been due that nobody wrote
 	waits   bool
+	states  map[string]State
+	drained time.Duration // until then what queued up before a verdict is given time
 }
 
 type heard struct {
@@ -75,7 +78,17 @@
 	// smooth is the weight of a period's demand in its mean.
 	smooth = 0.4
 	// rise bounds by how much of a class more is taken with each period; less is taken at once.
-	rise = 0.15
+	rise = 0.25
+	// lateLeast of a site's requests may come late before it counts as carrying less, by lateCost of their part with
+	// each period: what has queued up in the first moments of a loss must drain. regain is what it is trusted with again
+	// with each period without; past what was declared that is explore.
+	lateLeast, lateCost, turnedCost, regain, explore = 0.05, 0.25, 0.5, 0.05, 0.01
+	bearsLeast, bearsMost                            = 0.5, 1.3
+	// drains is the part of what is left that is given away in the first moments of a loss, for drainFor: what queued up
+	// until the verdict would else keep all that comes later waiting. settles is how long after a verdict the times of
+	// answers are the change's.
+	drains, drainFor = 0.5, 1500 * time.Millisecond
+	settles          = 5 * time.Second
 	// full is the part from which a class counts as taken whole.
 	full = 0.995
 )
@@ -99,9 +112,16 @@
 			}
 		}
 	}
+	d.note(next.Sites, now)
 	d.learn(m, last, fresh, now)
 	next.Bearing = d.bearing
-	next.plan(m, last, d.situation(m, next.Sites), d.Broken)
+	situation := d.situation(m, next.Sites)
+	if now < d.drained {
+		for i := range situation.Factor {
+			situation.Factor[i] *= drains
+		}
+	}
+	next.plan(m, last, situation, d.Broken)
 	if v.Last != nil && !differs(last, next) {
 		d.waits = false
 		return nil
@@ -115,6 +135,22 @@
 	return &next
 }
 
+// note remembers since when verdicts are what they are, whoever came to them.
+func (d *Decider) note(verdicts map[string]Verdict, now time.Duration) {
+	if d.states == nil {
+		d.states = map[string]State{}
+	}
+	for name, v := range verdicts {
+		if before := d.states[name]; before != "" && before != v.State {
+			d.settled = now + settles
+			if v.State == Lost {
+				d.drained = now + drainFor
+			}
+		}
+		d.states[name] = v.State
+	}
+}
+
 // fresh are the reports that were written anew not long ago, by this router's clock.
 func (d *Decider) fresh(v View, m Model, now time.Duration) (out []Report) {
 	if d.heard == nil {
@@ -172,7 +208,7 @@
 		}
 		for name, s := range r.Sees {
 			sum := seen[name]
-			sum.InTime, sum.Late = sum.InTime+s.InTime, sum.Late+s.Late
+			sum.InTime, sum.Late, sum.Turned = sum.InTime+s.InTime, sum.Late+s.Late, sum.Turned+s.Turned
 			seen[name] = sum
 		}
 	}
@@ -189,13 +225,19 @@
 	next := map[string]float64{}
 	for _, s := range m.Sites {
 		b := cmp.Or(d.bearing[s.Name], 1)
-		switch v, n := seen[s.Name], seen[s.Name].InTime+seen[s.Name].Late; {
-		case n >= least && float64(v.Late) > 0.05*float64(n):
-			b *= 1 - min(float64(v.Late)/float64(n), 0.5)/4
+		// What was turned away shows a queue too, though it cost less than what came late.
+		v := seen[s.Name]
+		late := float64(v.Late) + turnedCost*float64(v.Turned)
+		switch n := v.InTime + v.Late + v.Turned; {
+		case now < d.settled: // what queued up before the change was known says nothing of what sites carry
+		case n >= least && late > lateLeast*float64(n):
+			b *= 1 - lateCost*min(late/float64(n), 0.5)
+		case n >= least && b < 1:
+			b = min(b+regain, 1)
 		case n >= least && last.refuses():
-			b += 0.01
+			b += explore
 		}
-		next[s.Name] = min(max(b, 0.3), 1.3)
+		next[s.Name] = min(max(b, bearsLeast), bearsMost)
 	}
 	d.bearing = next
 }
--- a/internal/sites/pace.go
+++ b/internal/sites/pace.go
@@ -8,11 +8,13 @@
 // Pace brings a site back: all routers together give it no more than cold servers bear, a little more with each step,
 // and less again where its answers come late or not at all.
 type Pace struct {
-	begun bool
-	ramp  float64       // as it stands with the fleet
-	at    time.Duration // since when
-	cut   float64       // to what it is to be cut back, until the fleet has that; 0: it is not
-	rest  time.Duration // no step up until then
+	begun  bool
+	ramp   float64       // as it stands with the fleet
+	at     time.Duration // since when
+	said   float64       // what this gave last, and when
+	saidAt time.Duration
+	cut    float64       // to what it is to be cut back, until the fleet has that; 0: it is not
+	rest   time.Duration // no step up until then
 }
 
 // The terms of a return.
@@ -32,7 +34,11 @@
 func (p *Pace) Next(m Model, ramp float64, seen Seen, o Orders, now time.Duration) (float64, string) {
 	m = m.Filled()
 	if !p.begun || ramp != p.ramp {
-		p.begun, p.ramp, p.at, p.cut = true, ramp, now, 0
+		from := now
+		if p.begun && ramp == p.said { // as we said: it holds since then
+			from = p.saidAt
+		}
+		p.begun, p.ramp, p.at, p.cut = true, ramp, from, 0
 	}
 	n := seen.InTime + seen.Late
 	troubled := n >= least && float64(seen.Late) > trouble*float64(n)
@@ -54,7 +60,8 @@
 	if o.Pace > 0 && ramp > o.Pace {
 		ramp, why = o.Pace, "an operator paces it"
 	}
-	return min(ramp, 1), why
+	p.said, p.saidAt = min(ramp, 1), now
+	return p.said, why
 }
 
 // lateFrom is the part of a site's return from which classes that return last are given work there.
--- a/internal/sites/solve.go
+++ b/internal/sites/solve.go
@@ -338,8 +338,18 @@
 	if err != nil {
 		return out, err
 	}
+	share := make([][]float64, len(t.m.Classes))
+	for k := range share {
+		share[k] = make([]float64, len(t.m.Sites))
+	}
 	for _, f := range flows {
 		out.Flow[f.k][f.from][f.to] += x[f.v]
+		share[f.k][f.to] += x[f.v]
+	}
+	// The corner that the simplex ends at may refuse all at one site and none at another: where links allow it, all
+	// sites' routers refuse the same part.
+	if even := t.deliver("lp", share); even.Worth(t.m) >= out.Worth(t.m)*(1-slack) {
+		return even, nil
 	}
 	return out, nil
 }
--- a/internal/siting/agent.go
+++ b/internal/siting/agent.go
@@ -120,7 +120,7 @@
 	}
 	a.mu.Unlock()
 	if rank < admit {
-		a.meter.saw(main, func(s *sites.Seen) { s.Late++ })
+		a.meter.saw(main, func(s *sites.Seen) { s.Turned++ })
 	}
 }
 
@@ -377,7 +377,7 @@
 	}
 	a.mu.Unlock()
 	for class, n := range offered {
-		r.Offered[class] = float64(n) / max(since, period/2).Seconds()
+		r.Offered[class] = float64(n) / max(since, period).Seconds()
 	}
 	ctx, done := context.WithTimeout(ctx, period)
 	defer done()
@@ -490,6 +490,14 @@
 	if err != nil {
 		return v, err
 	}
+	return Read(r)
+}
+
+// All is the request for all records, from one node's copy.
+func All() *pb.RangeRequest { return etcd.Under(root, true) }
+
+// Read reads the records of an answer.
+func Read(r *pb.RangeResponse) (v sites.View, err error) {
 	v.Orders = map[string]sites.Orders{}
 	for _, pair := range r.Kvs {
 		key, err := string(pair.Key), error(nil)
--- a/internal/siting/meter.go
+++ b/internal/siting/meter.go
@@ -15,36 +15,45 @@
 	offered map[string]int
 	seen    map[string]sites.Seen
 	known   [2]map[uint64]bool // sessions that were taken lately, in two generations
-	under   float64            // the part of arrivals that belong to them
+	scores  [recent]float64    // of the last arrivals
+	arrival int                // how many there were
 }
 
 // sessions bounds a generation of sessions that are remembered.
 const sessions = 1 << 16
 
-// underWeight is the weight of an arrival in the mean.
-const underWeight = 0.02
+// recent is how many arrivals a new one is ranked among.
+const recent = 512
 
 func newMeter() *meter {
 	return &meter{offered: map[string]int{}, seen: map[string]sites.Seen{}, known: [2]map[uint64]bool{{}, {}}}
 }
 
-// arrived counts a request and gives its rank: sessions under way come before new ones, and among either one session's
-// requests have one rank, so that what is taken of it is taken whole.
+// arrived counts a request and gives its rank among those that came lately: sessions under way come before new ones,
+// and among either the order is the sessions' own, so that what is taken of a session is taken whole. Ranks are even
+// from 0 to 1 whatever the sessions are, so a part of them is that part of what comes.
 func (m *meter) arrived(class string, session uint64) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.offered[class]++
-	known := m.known[0][session] || m.known[1][session]
-	if known {
-		m.under += underWeight * (1 - m.under)
-	} else {
-		m.under -= underWeight * m.under
+	score := spread(session)
+	if !m.known[0][session] && !m.known[1][session] {
+		score++
 	}
-	draw := spread(session)
-	if known {
-		return m.under * draw
+	before, equal, n := 0, 0, min(m.arrival, recent)
+	for _, other := range m.scores[:n] {
+		if other < score {
+			before++
+		} else if other == score {
+			equal++
+		}
 	}
-	return m.under + (1-m.under)*draw
+	m.scores[m.arrival%recent] = score
+	m.arrival++
+	if n == 0 {
+		return 0
+	}
+	return (float64(before) + float64(equal)/2) / float64(n)
 }
 
 // took remembers a session that is under way.
