--- a/internal/emu/emu.go
+++ b/internal/emu/emu.go
@@ -157,5 +157,8 @@
 	return out
 }
 
+// Away tells whether it answers nobody.
+func (s *Server) Away(now time.Duration) bool { return now < s.away }
+
 // Load is how many run and wait.
 func (s *Server) Load() (running, waiting int) { return len(s.running), len(s.queue) }
--- a/internal/emu/handler.go
+++ b/internal/emu/handler.go
@@ -59,7 +59,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	if req.URL.Path == "/health" {
 		h.mu.Lock()
-		away := h.now() < h.server.away
+		away := h.server.Away(h.now())
 		h.mu.Unlock()
 		if away {
 			panic(http.ErrAbortHandler)
--- a/internal/siting/agent.go
+++ b/internal/siting/agent.go
@@ -39,7 +39,7 @@
 type Agent struct {
 	o     Options
 	store Store
-	meter *meter
+	meter *Meter
 	zero  time.Time
 	poke  chan struct{}
 
@@ -66,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Agent{o: o, store: Store{client}, meter: newMeter(), zero: time.Now(), poke: make(chan struct{}, 1),
+	return &Agent{o: o, store: Store{client}, meter: NewMeter(), zero: time.Now(), poke: make(chan struct{}, 1),
 		workers: map[brain.EngineID]core.Worker{}, missed: map[string]time.Duration{}, turn: map[string]int{}}, nil
 }
 
@@ -83,11 +83,11 @@
 }
 
 // Arrived serves chat.Meter.
-func (a *Agent) Arrived(class string, session uint64) float64 { return a.meter.arrived(class, session) }
+func (a *Agent) Arrived(class string, session uint64) float64 { return a.meter.Arrived(class, session) }
 
 // Tried serves chat.Meter.
 func (a *Agent) Tried(zone int, heard, inTime bool, session uint64) {
-	a.meter.saw(a.zone(zone), func(s *sites.Seen) {
+	a.meter.Saw(a.zone(zone), func(s *sites.Seen) {
 		s.Tried++
 		if heard {
 			s.OK++
@@ -99,7 +99,7 @@
 		}
 	})
 	if inTime {
-		a.meter.took(session)
+		a.meter.Took(session)
 	}
 }
 
@@ -120,7 +120,7 @@
 	}
 	a.mu.Unlock()
 	if rank < admit {
-		a.meter.saw(main, func(s *sites.Seen) { s.Turned++ })
+		a.meter.Saw(main, func(s *sites.Seen) { s.Turned++ })
 	}
 }
 
@@ -344,7 +344,7 @@
 	defer done()
 	err := a.o.Probe(ctx, w)
 	var e *core.AttemptError
-	a.meter.saw(a.zone(w.Zone), func(s *sites.Seen) {
+	a.meter.Saw(a.zone(w.Zone), func(s *sites.Seen) {
 		s.Tried++
 		switch {
 		case err == nil || errors.As(err, &e) && e.Verdict != core.NoVerdict:
@@ -357,7 +357,7 @@
 
 // report writes what was seen since the last one.
 func (a *Agent) report(ctx context.Context, m sites.Model, since, period time.Duration) {
-	offered, seen := a.meter.cut()
+	offered, seen := a.meter.Cut()
 	r := sites.Report{Router: a.o.Name, Boot: a.o.Boot, Site: a.o.Zone, Sees: map[string]sites.Seen{}, Offered: map[string]float64{}, Stopped: since > 3*period}
 	a.mu.Lock()
 	for _, s := range m.Sites {
--- a/internal/siting/meter.go
+++ b/internal/siting/meter.go
@@ -9,8 +9,8 @@
 	"sumacloft/internal/sites"
 )
 
-// meter counts what this router takes and sees between two reports.
-type meter struct {
+// Meter counts what this router takes and sees between two reports.
+type Meter struct {
 	mu      sync.Mutex
 	offered map[string]int
 	seen    map[string]sites.Seen
@@ -25,14 +25,15 @@
 // recent is how many arrivals a new one is ranked among.
 const recent = 512
 
-func newMeter() *meter {
-	return &meter{offered: map[string]int{}, seen: map[string]sites.Seen{}, known: [2]map[uint64]bool{{}, {}}}
+// NewMeter makes a meter.
+func NewMeter() *Meter {
+	return &Meter{offered: map[string]int{}, seen: map[string]sites.Seen{}, known: [2]map[uint64]bool{{}, {}}}
 }
 
-// arrived counts a request and gives its rank among those that came lately: sessions under way come before new ones,
+// Arrived counts a request and gives its rank among those that came lately: sessions under way come before new ones,
 // and among either the order is the sessions' own, so that what is taken of a session is taken whole. Ranks are even
 // from 0 to 1 whatever the sessions are, so a part of them is that part of what comes.
-func (m *meter) arrived(class string, session uint64) float64 {
+func (m *Meter) Arrived(class string, session uint64) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.offered[class]++
@@ -53,11 +54,11 @@
 	if n == 0 {
 		return 0
 	}
-	return (float64(before) + float64(equal)/2) / float64(n)
+	return (float64(before) + float64(equal)/2) / float64(n+1) // below 1: a class that is taken whole is
 }
 
-// took remembers a session that is under way.
-func (m *meter) took(session uint64) {
+// Took remembers a session that is under way.
+func (m *Meter) Took(session uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if len(m.known[0]) >= sessions {
@@ -66,7 +67,8 @@
 	m.known[0][session] = true
 }
 
-func (m *meter) saw(site string, change func(*sites.Seen)) {
+// Saw changes what was seen of a site.
+func (m *Meter) Saw(site string, change func(*sites.Seen)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.seen[site]
@@ -74,8 +76,8 @@
 	m.seen[site] = s
 }
 
-// cut gives what was counted, and begins anew.
-func (m *meter) cut() (offered map[string]int, seen map[string]sites.Seen) {
+// Cut gives what was counted, and begins anew.
+func (m *Meter) Cut() (offered map[string]int, seen map[string]sites.Seen) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	offered, seen = m.offered, m.seen
--- a/internal/siting/siting_test.go
+++ b/internal/siting/siting_test.go
@@ -110,10 +110,15 @@
 
 // Ranks are even whatever sessions there are, sessions under way come first, and one session's requests have one place.
 func TestRanks(t *testing.T) {
-	m := newMeter()
+	m := NewMeter()
 	for i := range 3000 {
-		if s := uint64(i % 300); m.arrived("q", s) < 0.5 {
-			m.took(s)
+		s := uint64(i % 300)
+		rank := m.Arrived("q", s)
+		if rank >= 1 {
+			t.Fatalf("request %d of a class that is taken whole has rank %v", i, rank)
+		}
+		if rank < 0.5 {
+			m.Took(s)
 		}
 	}
 	taken, n := 0, 3000
@@ -122,7 +127,7 @@
 		if i%2 == 0 {
 			s = uint64(i % 300)
 		}
-		rank := m.arrived("q", s)
+		rank := m.Arrived("q", s)
 		if rank < 0.3 {
 			taken++
 		}
--- /dev/null
+++ b/internal/world/plan.go
@@ -0,0 +1,105 @@
+package world
+
+import (
+	"iter"
+	"maps"
+	"slices"
+	"time"
+
+	"sumacloft/brain"
+	"sumacloft/internal/sites"
+)
+
+func sorted(m map[uint64]*attempt) iter.Seq[uint64] {
+	return slices.Values(slices.Sorted(maps.Keys(m)))
+}
+
+// probed is how many servers of each site a router probes between two reports.
+const probed = 4
+
+// deciding is how many routers step their deciders: those whose turn comes first. The others would come to the same.
+const deciding = 3
+
+// report writes what a router has seen since its last, and has its decider look at what all have.
+func (r *router) report(life int) {
+	w := r.w
+	if r.dead || r.life != life {
+		return
+	}
+	offered, seen := r.meter.Cut()
+	rep := sites.Report{Router: r.name, Site: siteName(r.site), Sees: map[string]sites.Seen{}, Offered: map[string]float64{}}
+	for _, c := range Classes {
+		rep.Offered[c.Name] = float64(offered[c.Name]) / r.period().Seconds()
+	}
+	per := w.set.Servers / w.set.Sites
+	for i := range w.set.Sites {
+		one := seen[siteName(i)]
+		one.Ready = per
+		for n := range min(probed, per) {
+			if one.Tried++; !w.servers[i*per+(r.n+n)%per].away() {
+				one.OK++
+			}
+		}
+		rep.Sees[siteName(i)] = one
+	}
+	w.rev++
+	rep.Rev = w.rev
+	w.reports[r.name] = rep
+	if w.decides(r) {
+		var list []sites.Report
+		for _, name := range slices.Sorted(maps.Keys(w.reports)) {
+			list = append(list, w.reports[name])
+		}
+		if next := r.decider.Next(sites.View{Model: w.model, Version: 1, Last: w.posture, Reports: list}, w.now); next != nil {
+			w.rev++
+			next.Rev = w.rev
+			w.posture = next
+			w.day.Postures++
+			for _, o := range w.routers {
+				w.after(10*time.Millisecond, o.follow)
+			}
+		}
+	}
+	r.follow()
+	w.after(r.period(), func() { r.report(life) })
+}
+
+// decides tells whether a router is one of the first that live, site by site in turn.
+func (w *world) decides(r *router) bool {
+	per, before := w.set.Routers/w.set.Sites, 0
+	for n := range per {
+		for site := range w.set.Sites {
+			o := w.routers[site*per+n]
+			if o == r {
+				return before < deciding
+			}
+			if !o.dead {
+				before++
+			}
+		}
+	}
+	return false
+}
+
+// follow has the module follow the posture.
+func (r *router) follow() {
+	p := r.w.posture
+	if r.dead || p == nil || p == r.posture {
+		return
+	}
+	r.posture = p
+	set := r.set
+	if len(p.Parts) > 0 {
+		set.Zone = -1
+	}
+	set.Admitted = nil
+	for _, c := range Classes {
+		admit := 1.0
+		if v, limited := p.Admit[c.Name][siteName(r.site)]; limited {
+			admit = v
+		}
+		set.Admitted = append(set.Admitted, admit)
+	}
+	r.brain.Retune(set)
+	r.handle(brain.Listed{Kind: brain.ListDelta, Engines: r.engines()})
+}
