--- a/internal/lab/sites_test.go
+++ b/internal/lab/sites_test.go
@@ -13,6 +13,8 @@
 // brings each back a part at a time, and no filing runs twice.
 func TestSiteHardCases(t *testing.T) {
 	t.Parallel()
+	places <- struct{}{}
+	defer func() { <-places }()
 	f, err := OpenSites(Options{Dir: t.TempDir(), Bin: build(t, ""), Seed: 3}, SitePlan(SiteRate))
 	if err != nil {
 		t.Fatal(err)
