Work in hand: a query that the core fails is dropped, not settled as unknown

Seen: on a machine with 18% of its time stolen the laboratory's SIGTERM with work waiting had two queries settled as unknown. Break made the difference between safe and unsafe, Fail did not. Fail makes it now, and Break is Fail. A test fails without the change.

--- a/internal/chat/flight.go
+++ b/internal/chat/flight.go
@@ -374,8 +374,13 @@
 	fl.ending(refused, holdOff, writesFor, fl.entry.Drop)
 }
 
-// Fail serves core.Client.
+// Fail serves core.Client: what may run again is dropped, so that whoever comes again has it run; of anything else nobody
+// can tell.
 func (fl *flight) Fail() {
+	if fl.effect == ledger.Safe {
+		fl.ending(refused, comeAgain, writesFor, fl.entry.Drop)
+		return
+	}
 	fl.ending(unknown, 0, writesFor, func(ctx context.Context) error { return fl.entry.End(ctx, ledger.Unknown, ledger.Answer{}) })
 }
 
@@ -408,13 +413,7 @@
 }
 
 // Break serves core.Client: the answer broke midway.
-func (fl *flight) Break() {
-	if fl.effect == ledger.Safe {
-		fl.ending(refused, comeAgain, writesFor, fl.entry.Drop)
-		return
-	}
-	fl.Fail()
-}
+func (fl *flight) Break() { fl.Fail() }
 
 // close is told last: a request that the core gave up without an answer, as its context had ended, has one by now.
 func (fl *flight) close() {
--- a/internal/chat/flight_test.go
+++ b/internal/chat/flight_test.go
@@ -230,3 +230,27 @@
 		}
 	}
 }
+
+// A request that the core fails, as it does for one that the module has not decided by its deadline, is settled as unknown
+// only where running it again would harm: of a query nothing stays.
+func TestFailedQueryIsNotUnknown(t *testing.T) {
+	endpoint, _ := etcdtest.Serve(t, nil)
+	_, h := hands(t, endpoint, "a", false)
+	standin.Eventually(t, 5*time.Second, "the book is ready", h.Book.Ready)
+	for effect, want := range map[ledger.Effect]bool{ledger.Safe: false, ledger.Unsafe: true} {
+		key, now := h.Book.ClientKey("", fmt.Sprint(effect)), time.Now().UnixMilli()
+		entry, err := h.Book.New(ledger.Record{Key: key, Effect: effect, TakenMs: now, Deadline: now + 60_000}, true)
+		if err == nil {
+			err = entry.Sending(t.Context(), "s")
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		fl := &flight{h: h, entry: entry, job: &job{}, effect: effect, more: make(chan struct{})}
+		fl.Fail()
+		rec, there, err := h.Book.Find(t.Context(), key)
+		if err != nil || there != want || (want && rec.Outcome != ledger.Unknown) || (fl.fate == refused) == want {
+			t.Errorf("effect %v: %+v, %v, %v; fate %v", effect, rec, there, err, fl.fate)
+		}
+	}
+}
