Routers take their configuration as confirmed only from a led control member

Ruled out: orders and reads (they go to the leader under its lease); routers that went on running (they keep their other members). Change: heartbeat answers tell what stands behind a copy (Hearsay, Durable, Led). An agent asks all members it has heard of, starters and those taken for down too, every 250 ms until one that hears of a leader has confirmed the newest configuration by a read under the leader's lease, and again whenever none answers. It tells its proxy of an unconfirmed one once a majority of the voters has told what their disks know, or 1 s after its start. Led members greet routers that are taken for down. Led is false until a leader was known. A leaving worker is acknowledged only once a majority of the control members has it; a lone member acknowledges alone no more.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -34,17 +34,21 @@
 	settings *boot.Settings
 	network  network.Network
 	log      zerolog.Logger
+	client   *rpc.Client
 	members  *membership.Membership
 	address  string
 	feed     *feed
 	servers  []*rpc.Server
 	began    time.Time
 	lines    status.Log // may be nil
+
+	confirmation *confirmation
 }
 
 // New makes an agent on a machine's network.
 func New(settings *boot.Settings, over network.Network, log zerolog.Logger) *Agent {
-	a := &Agent{settings: settings, network: over, log: log, began: time.Now()}
+	a := &Agent{settings: settings, network: over, log: log, client: rpc.NewClient(over), began: time.Now()}
+	a.confirmation = newConfirmation(settings.Bear.Machines)
 	a.address = membership.InsideAddress(settings.IP, settings.InsidePorts, membership.PortAgent)
 	a.members = membership.New(membership.Config{
 		Prefix:   topic.Routers,
@@ -52,10 +56,10 @@
 		Starters: membership.StarterAddresses(settings),
 		Interval: beatInterval,
 		FanOut:   fanOut,
-		Client:   rpc.NewClient(over),
+		Client:   a.client,
 		Log:      log,
 	})
-	a.feed = newFeed(a.members.Node())
+	a.feed = newFeed(a.members.Node(), a.confirmation.open)
 	return a
 }
 
@@ -72,6 +76,7 @@
 	if err := a.serve(loopback, FeedAddress(a.settings)); err != nil {
 		return err
 	}
+	go a.confirm(ctx)
 	a.join(ctx)
 	go a.forget(ctx)
 	a.members.Run(ctx)
--- /dev/null
+++ b/internal/agent/confirm.go
@@ -0,0 +1,162 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sumacloft/internal/mesh/message"
+	"sumacloft/internal/mesh/topic"
+	"sumacloft/internal/periodic"
+)
+
+const (
+	// searchInterval is how often control members are looked for while none that hears of a leader has confirmed the
+	// configuration, or none answers any more.
+	searchInterval = 250 * time.Millisecond
+	// contactLimit is how long ago a control member that hears of a leader may have answered.
+	contactLimit = 2500 * time.Millisecond
+	// confirmLimit bounds one question for the newest configuration.
+	confirmLimit = 600 * time.Millisecond
+	// unconfirmedWait is for how long after its start an agent holds back a configuration that nothing confirms. It is
+	// well below the time (in_touch_ms) after which a router that reaches a majority has to work by the newest one.
+	unconfirmedWait = time.Second
+)
+
+// confirmation is what this agent knows of the worth of its configuration: a control member that was cut off gives out
+// what its disk knows, which may be old.
+type confirmation struct {
+	majority int           // of the voters
+	open     chan struct{} // closed once the configuration is told to the proxy
+
+	mu        sync.Mutex
+	confirmed bool                // the leader has told of the newest one in this life
+	voters    map[string]struct{} // addresses of those that have told what their disks know
+	asking    map[string]struct{} // addresses that have not answered yet
+	told      bool                // open is closed
+}
+
+func newConfirmation(bear int) *confirmation {
+	return &confirmation{majority: bear + 1, open: make(chan struct{}), voters: map[string]struct{}{}, asking: map[string]struct{}{}}
+}
+
+// begin notes that an address is being asked; false if it is already.
+func (c *confirmation) begin(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, already := c.asking[address]; already {
+		return false
+	}
+	c.asking[address] = struct{}{}
+	return true
+}
+
+func (c *confirmation) end(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.asking, address)
+}
+
+// confirm notes that the agent holds the newest configuration there was when it asked.
+func (c *confirmation) confirm() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.confirmed = true
+	c.tell()
+}
+
+// isConfirmed tells whether the agent has held the newest configuration at some time in its life.
+func (c *confirmation) isConfirmed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirmed
+}
+
+// vote notes that a voter has told what its disk knows. With a majority of them, the agent holds the newest configuration
+// that was known to be committed when the leader was lost.
+func (c *confirmation) vote(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.voters[address] = struct{}{}
+	if len(c.voters) >= c.majority {
+		c.tell()
+	}
+}
+
+// give has the proxy told of the configuration though nothing confirms it.
+func (c *confirmation) give() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tell()
+}
+
+// tell opens the way to the proxy, for good. The lock is held.
+func (c *confirmation) tell() {
+	if !c.told {
+		c.told = true
+		close(c.open)
+	}
+}
+
+// confirm looks, until the context ends, for control members that a majority stands behind, whenever none has confirmed
+// the configuration yet or none has answered for a while.
+func (a *Agent) confirm(ctx context.Context) {
+	time.AfterFunc(unconfirmedWait, a.confirmation.give)
+	a.search(ctx)
+	periodic.Run(ctx, searchInterval, func() {
+		if !a.confirmation.isConfirmed() || !a.members.InContact(contactLimit) {
+			a.search(ctx)
+		}
+	})
+}
+
+// search asks all control members that the agent has heard of.
+func (a *Agent) search(ctx context.Context) {
+	for _, address := range a.members.ControlAddresses() {
+		if !a.confirmation.begin(address) {
+			continue
+		}
+		go func() {
+			defer a.confirmation.end(address)
+			a.ask(ctx, address)
+		}()
+	}
+}
+
+// ask brings the agent's copy and a control member's to one state, and has the member confirm the configuration if it
+// hears of a leader.
+func (a *Agent) ask(ctx context.Context, address string) {
+	standing, err := a.members.Greet(ctx, address)
+	if err != nil {
+		return // asked again
+	}
+	if standing == message.Durable {
+		a.confirmation.vote(address)
+	}
+	if standing != message.Led || a.confirmation.isConfirmed() {
+		return
+	}
+	if err := a.takeNewest(ctx, address); err != nil {
+		a.log.Info().Str("peer", address).Err(err).Msg("configuration not confirmed")
+		return
+	}
+	a.confirmation.confirm()
+}
+
+// takeNewest takes the newest configuration there is, as the leader knows it.
+func (a *Agent) takeNewest(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmLimit)
+	defer cancel()
+	snapshot, _ := a.members.Node().Snapshot()
+	known, _ := snapshot.Get(topic.Settings)
+	answer, err := message.CallConfirm.Call(ctx, a.client, address, &message.Read{Known: known.Version.Major})
+	if err != nil || len(answer.Document) == 0 {
+		return err
+	}
+	entry, err := topic.SettingsEntry(answer.Index, answer.Document)
+	if err != nil {
+		return err
+	}
+	a.members.Node().Take(address, entry)
+	return nil
+}
--- a/internal/agent/feed.go
+++ b/internal/agent/feed.go
@@ -26,7 +26,8 @@
 // feed answers the proxy's questions for the state of the fleet.
 type feed struct {
 	node *node.Node
-	life uint64 // tells this agent's revisions from those of an earlier life
+	life uint64          // tells this agent's revisions from those of an earlier life
+	open <-chan struct{} // closed once the configuration is told
 
 	mu      sync.Mutex
 	waiting int
@@ -34,8 +35,8 @@
 	next    time.Time // the next answer is given then at the earliest
 }
 
-func newFeed(of *node.Node) *feed {
-	return &feed{node: of, life: rand.Uint64() | 1, last: time.Now()}
+func newFeed(of *node.Node, open <-chan struct{}) *feed {
+	return &feed{node: of, life: rand.Uint64() | 1, open: open, last: time.Now()}
 }
 
 // watch answers once the state differs from what the proxy knows, or after watchLimit.
@@ -46,7 +47,9 @@
 	defer limit.Stop()
 	for {
 		snapshot, changed := f.node.Snapshot()
-		if question.Life != f.life || question.Revision != snapshot.Revision() && f.untilNext() <= 0 {
+		settings, opening := f.settings(snapshot)
+		differs := question.Revision != snapshot.Revision() || question.Settings != settings.Version.Major
+		if question.Life != f.life || differs && f.untilNext() <= 0 {
 			answer, err := f.answer(snapshot, question)
 			if err == nil {
 				f.answered(len(answer.Workers))
@@ -60,11 +63,23 @@
 			return &message.Snapshot{Same: true}, nil
 		case <-changed:
 			time.Sleep(max(gatherTime, f.untilNext()))
-		case <-f.later(question.Revision != snapshot.Revision()):
+		case <-opening:
+		case <-f.later(differs):
 		}
 	}
 }
 
+// settings is the configuration's entry; a zero one while it is not told, with a channel that is closed once it is.
+func (f *feed) settings(snapshot replica.Snapshot) (entry replica.Entry, opening <-chan struct{}) {
+	select {
+	case <-f.open:
+		entry, _ = snapshot.Get(topic.Settings)
+		return entry, nil
+	default:
+		return replica.Entry{}, f.open
+	}
+}
+
 // later fires when the next answer may be given, if one is due.
 func (f *feed) later(due bool) <-chan time.Time {
 	if !due {
@@ -96,11 +111,11 @@
 		Orders:   snapshot.Prefix(topic.Orders),
 		Routers:  hosts(topic.Peers(snapshot.Prefix(topic.Routers))),
 	}
-	entry, found := snapshot.Get(topic.Settings)
-	if !found {
+	entry, _ := f.settings(snapshot)
+	answer.Settings = entry.Version.Major
+	if len(entry.Value) == 0 {
 		return answer, nil
 	}
-	answer.Settings = entry.Version.Major
 	if question.Life == f.life && question.Settings == answer.Settings {
 		return answer, nil
 	}
--- a/internal/agent/status_test.go
+++ b/internal/agent/status_test.go
@@ -21,7 +21,7 @@
 	configuration, err := topic.SettingsEntry(9, []byte(`{"version":4}`))
 	c.Assert(err, qt.IsNil)
 	other := topic.Peer{Node: "edge-2", Address: "10.0.0.2:7701"}
-	beside.members.Node().Put(configuration, topic.DownEntry(topic.Routers, other.Node, 1))
+	beside.members.Node().Put(configuration, topic.DownEntry(topic.Routers, other, 1))
 	// when it is asked
 	report, err := beside.report(context.Background(), &status.Question{})
 	// then it tells of both and of itself, and of no partitions.
--- a/internal/control/consensus/status.go
+++ b/internal/control/consensus/status.go
@@ -51,6 +51,11 @@
 	return node.member(node.leader), true
 }
 
+// IsVoter reports whether the member votes by the membership in force.
+func (node *Node) IsVoter() bool {
+	return node.memberships.current().isVoter(node.config.Self)
+}
+
 // IsLeader reports whether the member believes itself the leader. See LeaseUntil
 // for a promise.
 func (node *Node) IsLeader() bool {
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +18,7 @@
 	"sumacloft/internal/control/registry"
 	"sumacloft/internal/control/steering"
 	"sumacloft/internal/mesh/membership"
+	"sumacloft/internal/mesh/message"
 	"sumacloft/internal/mesh/network"
 	"sumacloft/internal/mesh/replica"
 	"sumacloft/internal/mesh/rpc"
@@ -41,11 +40,13 @@
 	lapseInterval = 500 * time.Millisecond
 	// silentBeats is how many heartbeats of a worker may be missing before it lapses.
 	silentBeats = 4
-	// confirmLimit is how long the acknowledgement of a leaving worker waits for a second control member.
+	// confirmLimit is how long the acknowledgement of a leaving worker waits for other control members.
 	confirmLimit = 400 * time.Millisecond
 	// leaderless is how long a member without a leader still acknowledges heartbeats. After that it takes them and has
 	// their workers go on to another member: those that it is cut off from would take the workers for lost.
 	leaderless = 2 * time.Second
+	// ledLimit is how long ago a member may have known a leader and still say so to routers.
+	ledLimit = 500 * time.Millisecond
 	// headerLimit bounds the time that a caller may take to send the head of a call.
 	headerLimit = 5 * time.Second
 )
@@ -70,7 +71,7 @@
 	mu        sync.Mutex
 	registry  *registry.Registry
 	kept      uint64                    // revision of the view that is on disk
-	confirmed map[string]registry.State // of workers that end, as a second member knows it
+	confirmed map[string]registry.State // of workers that end, as a majority of the members knows it
 	past      *tombstone.Keeper         // of orders to workers that are not known
 }
 
@@ -101,7 +102,9 @@
 		Client:   m.client,
 		Log:      log,
 		OnNews:   m.news,
+		Led:      func() bool { return m.standing() == message.Led },
 	})
+	m.members.Node().TellStanding(m.standing)
 	return m
 }
 
@@ -122,13 +125,13 @@
 		Self:     consensus.Member{Address: m.address, Node: m.settings.Node},
 		Founders: m.founders(),
 		First:    m.settings.FirstRun,
-		Voters:   2*m.settings.Bear.Machines + 1,
+		Voters:   m.voters(),
 		Files:    files,
 		Sizes:    m.sizes(),
 		Client:   m.client,
 		Log:      m.log,
 		Machines: m.machines(),
-		Controls: m.controls,
+		Controls: m.members.ControlAddresses,
 	}
 	for {
 		m.host, err = partition.Open(config)
@@ -144,6 +147,9 @@
 	}
 }
 
+// voters is how many members vote in each partition.
+func (m *Member) voters() int { return 2*m.settings.Bear.Machines + 1 }
+
 // machines are the state machines of all partitions.
 func (m *Member) machines() map[partition.Group]partition.StateMachine {
 	machines := map[partition.Group]partition.StateMachine{settingsGroup: m.orders.machine}
@@ -180,19 +186,6 @@
 	return founders
 }
 
-// controls are the inside addresses of the control members that are known, the starters among them.
-func (m *Member) controls() []string {
-	snapshot, _ := m.members.Node().Snapshot()
-	known := map[string]struct{}{}
-	for _, peer := range topic.Peers(snapshot.Prefix(topic.Controls)) {
-		known[peer.Address] = struct{}{}
-	}
-	for _, address := range m.members.Starters() {
-		known[address] = struct{}{}
-	}
-	return slices.Collect(maps.Keys(known))
-}
-
 // Reload takes a boot file that was read again.
 func (m *Member) Reload(settings *boot.Settings) {
 	m.members.SetStarters(membership.StarterAddresses(settings))
@@ -259,6 +252,17 @@
 
 func (m *Member) now() time.Duration { return time.Since(m.began) }
 
+// standing is what stands behind this member's copy of the fleet's state.
+func (m *Member) standing() message.Standing {
+	switch {
+	case m.host.Led(ledLimit):
+		return message.Led
+	case m.host.Voter():
+		return message.Durable
+	}
+	return message.Hearsay
+}
+
 // Beat serves steering.Workers.
 func (m *Member) Beat(ctx context.Context, beat registry.Beat) (string, error) {
 	m.mu.Lock()
@@ -288,8 +292,8 @@
 	return nil
 }
 
-// tell has the fleet know of a worker's change. The news of one that ends is with a second control member before it is
-// acknowledged: this one may be cut off from the others, or be lost right after.
+// tell has the fleet know of a worker's change. The news of one that ends is with a majority of the control members before
+// it is acknowledged: whichever of them are cut off or lost right after, one that routers hear has it and passes it on.
 func (m *Member) tell(ctx context.Context, worker registry.Worker, changed bool) error {
 	entry := registry.EntryOf(worker)
 	if changed {
@@ -298,8 +302,9 @@
 	if worker.State == registry.Up || m.isConfirmed(worker) {
 		return nil
 	}
-	if !m.members.Confirm(ctx, []replica.Entry{entry}, confirmLimit) {
-		return Error.New("no other control member hears of worker %s's end: tell another one", worker.ID)
+	wanted := m.members.OthersForMajority(m.voters())
+	if !m.members.Confirm(ctx, []replica.Entry{entry}, wanted, confirmLimit) {
+		return Error.New("too few other control members hear of worker %s's end: tell another one", worker.ID)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/control/member/orders.go
+++ b/internal/control/member/orders.go
@@ -35,6 +35,7 @@
 func (o *orders) handle(mux *http.ServeMux) {
 	message.CallOrder.Handle(mux, o.lead)
 	message.CallRead.Handle(mux, o.leadRead)
+	message.CallConfirm.Handle(mux, o.newest)
 }
 
 // Submit serves steering.Settings.
@@ -64,17 +65,21 @@
 func (o *orders) Read(ctx context.Context) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderLimit)
 	defer cancel()
-	question := &message.Read{}
-	answer, err := atLeader(ctx, func() (*message.ReadAnswer, error) { return o.leadRead(ctx, question) },
-		func(leader string) (*message.ReadAnswer, error) {
-			return message.CallRead.Call(ctx, o.member.client, leader, question)
-		})
+	answer, err := o.newest(ctx, &message.Read{})
 	if err != nil {
 		return nil, err
 	}
 	return answer.Document, nil
 }
 
+// newest gives the newest document as the leader knows it under its lease.
+func (o *orders) newest(ctx context.Context, question *message.Read) (*message.ReadAnswer, error) {
+	return atLeader(ctx, func() (*message.ReadAnswer, error) { return o.leadRead(ctx, question) },
+		func(leader string) (*message.ReadAnswer, error) {
+			return message.CallRead.Call(ctx, o.member.client, leader, question)
+		})
+}
+
 // atLeader has a call answered here, or by the leader where that is another member, until the context ends. Calls may be
 // made again: an order that was taken is recognised.
 func atLeader[Answer any](ctx context.Context, here func() (*Answer, error), there func(leader string) (*Answer, error)) (*Answer, error) {
@@ -113,10 +118,11 @@
 }
 
 // leadRead gives the newest document, if this member leads the partition.
-func (o *orders) leadRead(ctx context.Context, _ *message.Read) (*message.ReadAnswer, error) {
+func (o *orders) leadRead(ctx context.Context, question *message.Read) (*message.ReadAnswer, error) {
 	answer := &message.ReadAnswer{}
 	err := o.member.host.Read(ctx, settingsGroup, func() {
-		if current := o.machine.state.Current(); current != nil {
+		answer.Index = o.machine.state.Index()
+		if current := o.machine.state.Current(); current != nil && answer.Index != question.Known {
 			answer.Document = current.Raw()
 		}
 	})
--- a/internal/control/partition/host.go
+++ b/internal/control/partition/host.go
@@ -49,6 +49,9 @@
 	dutyInterval = 250 * time.Millisecond
 )
 
+// neverLed is when a member that has known no leader yet knew one.
+const neverLed = time.Duration(-1 << 62)
+
 // Config sets up a host.
 type Config struct {
 	Self     consensus.Member // its ID is 0 until it was read from the disk or drawn
@@ -79,6 +82,7 @@
 	leaving map[consensus.MemberID]time.Duration // since when
 	stopped bool
 	ledAt   atomic.Int64 // as time.Duration: all partitions had a leader
+	voter   atomic.Bool  // in all partitions
 }
 
 // joiner is a machine that asked to join, and when.
@@ -125,6 +129,7 @@
 		joining: map[consensus.MemberID]joiner{},
 		leaving: map[consensus.MemberID]time.Duration{},
 	}
+	h.ledAt.Store(int64(neverLed))
 	state, err := recovered(records)
 	if err != nil {
 		return nil, err
@@ -273,13 +278,15 @@
 
 // flush carries out what the nodes want done.
 func (h *Host) flush() {
-	led := len(h.groups) > 0
+	led, voter := len(h.groups) > 0, len(h.groups) > 0
 	for _, g := range h.groups {
 		h.carryOut(g, g.node.TakeOutput())
 		h.noteLead(g)
 		_, known := g.node.Leader()
 		led = led && known
+		voter = voter && g.node.IsVoter()
 	}
+	h.voter.Store(voter)
 	if led {
 		h.ledAt.Store(int64(h.now()))
 	}
--- a/internal/control/partition/status.go
+++ b/internal/control/partition/status.go
@@ -68,6 +68,9 @@
 	return w.stats
 }
 
+// Voter tells whether this member votes in all partitions, as far as it knows.
+func (h *Host) Voter() bool { return h.voter.Load() }
+
 // Led tells whether, within the limit, this member knew a leader of every partition. One that did not is cut off from the
 // others, or the others are lost.
 func (h *Host) Led(limit time.Duration) bool {
--- a/internal/fleettest/edge.go
+++ b/internal/fleettest/edge.go
@@ -108,6 +108,13 @@
 	return e.proxy.ended
 }
 
+// Stop ends both processes as SIGTERM does, and waits for their end.
+func (e *Edge) Stop() {
+	<-e.StopProxy()
+	e.agent.cancel()
+	<-e.agent.ended
+}
+
 // PowerOff takes the machine's power.
 func (e *Edge) PowerOff() {
 	e.machine.PowerOff()
--- /dev/null
+++ b/internal/mesh/membership/confirm.go
@@ -0,0 +1,37 @@
+package membership
+
+import (
+	"context"
+	"time"
+
+	"sumacloft/internal/mesh/replica"
+)
+
+// Confirm pushes entries to the other control members and waits until so many have taken them, at most for the limit. It
+// tells whether they have.
+func (m *Membership) Confirm(ctx context.Context, entries []replica.Entry, wanted int, limit time.Duration) bool {
+	snapshot, _ := m.node.Snapshot()
+	others := m.others(snapshot)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	taken := make(chan error, len(others))
+	for _, member := range others {
+		go func() { taken <- m.node.Push(ctx, member.Address, entries) }()
+	}
+	for range others {
+		if wanted <= 0 {
+			return true
+		}
+		if <-taken == nil {
+			wanted--
+		}
+	}
+	return wanted <= 0
+}
+
+// OthersForMajority is how many other control members make a majority of the control members together with this one:
+// of those that are known to live, and of the voters that are wanted, whichever are more.
+func (m *Membership) OthersForMajority(voters int) int {
+	snapshot, _ := m.node.Snapshot()
+	return max(len(m.others(snapshot))+1, voters) / 2
+}
--- /dev/null
+++ b/internal/mesh/membership/contact.go
@@ -0,0 +1,108 @@
+package membership
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sumacloft/internal/mesh/message"
+	"sumacloft/internal/mesh/replica"
+	"sumacloft/internal/mesh/topic"
+)
+
+// contactRounds is after how many rounds without an answer of a led control member a router looks for another one.
+const contactRounds = 2
+
+// contact is when a control member that hears of a leader answered last. The lock of Membership guards it.
+type contact struct {
+	made bool
+	at   time.Duration
+}
+
+// note takes what stands behind a router that answered a heartbeat.
+func (m *Membership) note(standing message.Standing, err error) {
+	if err != nil || standing != message.Led {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.contact = contact{made: true, at: time.Since(m.began)}
+}
+
+// InContact tells whether, within the limit, a control member has answered that hears of the leader of every partition.
+func (m *Membership) InContact(limit time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.contact.made && time.Since(m.began)-m.contact.at <= limit
+}
+
+// Greet brings this router's copy and that of a router at an address to one state, whether the two know of each other or
+// not, and gives what stands behind the other's.
+func (m *Membership) Greet(ctx context.Context, address string) (message.Standing, error) {
+	standing, err := m.node.Beat(ctx, address, 0)
+	m.note(standing, err)
+	return standing, err
+}
+
+// ControlAddresses are the inside addresses of all control members that this router has heard of, the starters and those
+// that are taken for down among them.
+func (m *Membership) ControlAddresses() []string {
+	snapshot, _ := m.node.Snapshot()
+	known := map[string]struct{}{}
+	for _, entry := range snapshot.Prefix(topic.Controls) {
+		if peer, found := topic.PeerOf(entry); found && peer.Address != m.config.Self.Address {
+			known[peer.Address] = struct{}{}
+		}
+	}
+	for _, address := range m.Starters() {
+		known[address] = struct{}{}
+	}
+	return slices.Collect(maps.Keys(known))
+}
+
+// seekLimit is for how long routers that are taken for down are sought.
+const seekLimit = 5 * time.Minute
+
+// lost is since when routers are taken for down, by key.
+type lost map[string]time.Duration
+
+// follow brings the list to the entries.
+func (l lost) follow(now time.Duration, entries []replica.Entry) {
+	for _, entry := range entries {
+		if !topic.Down(entry) {
+			delete(l, entry.Key)
+		} else if _, noted := l[entry.Key]; !noted {
+			l[entry.Key] = now
+		}
+	}
+}
+
+// draw gives the address of one that may still be found; "" if there is none.
+func (l lost) draw(now time.Duration, entries []replica.Entry) string {
+	var addresses []string
+	for _, entry := range entries {
+		peer, known := topic.PeerOf(entry)
+		if since, noted := l[entry.Key]; known && noted && now-since <= seekLimit {
+			addresses = append(addresses, peer.Address)
+		}
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[rand.IntN(len(addresses))]
+}
+
+// seek has a control member that hears of a leader greet one router that is taken for down. That one may live and know of
+// nobody but a member that is cut off: it could not find the others by itself.
+func (m *Membership) seek(ctx context.Context, snapshot replica.Snapshot, now time.Duration) {
+	if m.config.Led == nil || !m.config.Led() {
+		return
+	}
+	entries := append(snapshot.Prefix(topic.Routers), snapshot.Prefix(topic.Controls)...)
+	m.lost.follow(now, entries)
+	if address := m.lost.draw(now, entries); address != "" && address != m.config.Self.Address {
+		go func() { _, _ = m.Greet(ctx, address) }() // most of them are down indeed
+	}
+}
--- a/internal/mesh/membership/membership.go
+++ b/internal/mesh/membership/membership.go
@@ -53,6 +53,8 @@
 	Client   *rpc.Client
 	Log      zerolog.Logger
 	OnNews   func(news []replica.Entry) // may be nil
+	// Led tells whether this router hears of the leader of every partition; nil at edge routers.
+	Led func() bool
 }
 
 // Membership is one router's place in the fleet. Use New, then Run.
@@ -68,11 +70,13 @@
 	watched     *detector.Detector
 	turn        int
 	waiting     gathered
+	contact     contact
+	lost        lost
 }
 
 // New makes the membership of a router.
 func New(config Config) *Membership {
-	m := &Membership{config: config, began: time.Now(), incarnation: 1, watched: detector.New(silence)}
+	m := &Membership{config: config, began: time.Now(), incarnation: 1, watched: detector.New(silence), lost: lost{}}
 	m.node = node.New(config.Self.Node, config.Client, config.Log, m.news, m.heard)
 	return m
 }
@@ -115,7 +119,10 @@
 	answered := make(chan bool)
 	starters := m.Starters()
 	for _, address := range starters {
-		go func() { answered <- m.node.Beat(ctx, address, 0) == nil }()
+		go func() {
+			_, err := m.Greet(ctx, address)
+			answered <- err == nil
+		}()
 	}
 	reached := 0
 	for range starters {
@@ -146,7 +153,7 @@
 	incarnation, announced := m.incarnation, m.announced
 	m.mu.Unlock()
 	if announced {
-		m.node.Put(topic.DownEntry(m.config.Prefix, m.config.Self.Node, incarnation))
+		m.node.Put(topic.DownEntry(m.config.Prefix, m.config.Self, incarnation))
 	}
 }
 
@@ -182,6 +189,7 @@
 	for address := range targets {
 		go m.beat(ctx, address, incarnation)
 	}
+	m.seek(ctx, snapshot, now)
 }
 
 // index lists the peers' names, and their addresses by name.
@@ -195,13 +203,16 @@
 }
 
 func (m *Membership) beat(ctx context.Context, address string, incarnation uint64) {
-	if err := m.node.Beat(ctx, address, incarnation); err != nil && ctx.Err() == nil {
+	standing, err := m.node.Beat(ctx, address, incarnation)
+	if err != nil && ctx.Err() == nil {
 		m.config.Log.Info().Str("peer", address).Err(err).Msg("heartbeat not answered")
 	}
+	m.note(standing, err)
 }
 
 // control chooses the control member of this round: mostly one of the own zone, where there is one. Starters stand in
-// while no other member is known, and now and then in any case: the members that this router knows may all be gone.
+// while no other member is known, and now and then in any case: the members that this router knows may all be gone. While
+// none that hears of a leader has answered, all are tried in turn, and starters every second time.
 func (m *Membership) control(members []topic.Peer, turn int) string {
 	var near, others []topic.Peer
 	for _, member := range members {
@@ -213,11 +224,12 @@
 			near = append(near, member)
 		}
 	}
+	inContact := m.InContact(contactRounds * m.config.Interval)
 	starters := m.Starters()
-	if len(starters) > 0 && (len(others) == 0 || turn%(4*awayTurns) == 0) {
+	if len(starters) > 0 && (len(others) == 0 || turn%(4*awayTurns) == 0 || !inContact && turn%2 == 0) {
 		return starters[rand.IntN(len(starters))]
 	}
-	if len(near) > 0 && turn%awayTurns != 0 {
+	if len(near) > 0 && inContact && turn%awayTurns != 0 {
 		others = near
 	}
 	if len(others) == 0 {
@@ -234,7 +246,9 @@
 		return
 	}
 	m.config.Log.Info().Str("peer", lost.ID).Int64("silent_ms", lost.Silent.Milliseconds()).Msg("a router is down")
-	m.node.Put(topic.DownEntry(m.config.Prefix, lost.ID, entry.Version.Major))
+	peer, _ := topic.PeerOf(entry) // without an address it can't be sought
+	peer.Node = lost.ID
+	m.node.Put(topic.DownEntry(m.config.Prefix, peer, entry.Version.Major))
 }
 
 // heard takes a heartbeat of another router.
@@ -283,25 +297,3 @@
 		m.config.Log.Info().Str("peer", address).Err(err).Msg("push not taken")
 	}
 }
-
-// Confirm pushes entries to the other control members and waits until one has taken them, at most for the limit. It
-// tells whether one has; where there is no other, true.
-func (m *Membership) Confirm(ctx context.Context, entries []replica.Entry, limit time.Duration) bool {
-	snapshot, _ := m.node.Snapshot()
-	others := m.others(snapshot)
-	if len(others) == 0 {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	taken := make(chan error, len(others))
-	for _, member := range others {
-		go func() { taken <- m.node.Push(ctx, member.Address, entries) }()
-	}
-	for range others {
-		if <-taken == nil {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/mesh/message/message.go
+++ b/internal/mesh/message/message.go
@@ -13,11 +13,22 @@
 	Sum         uint64 `cbor:"3,keyasint,omitempty"` // replica.Digest.Sum
 }
 
-// BeatAnswer holds the watcher's digest where the sums differ.
+// BeatAnswer holds the watcher's digest where the sums differ, and what stands behind its copy.
 type BeatAnswer struct {
-	Digest *replica.Digest `cbor:"1,keyasint,omitempty"`
+	Digest   *replica.Digest `cbor:"1,keyasint,omitempty"`
+	Standing Standing        `cbor:"2,keyasint,omitempty"`
 }
 
+// Standing is what stands behind a router's copy of the fleet's state.
+type Standing uint8
+
+// The standings.
+const (
+	Hearsay Standing = iota // what others said: an edge router, or a control member that is no voter
+	Durable                 // what a voter's own disk holds; the voter knows no leader
+	Led                     // a voter that hears of its leader, which a majority answers
+)
+
 // Sync brings entries. With a digest, the answer holds what its sender may lack.
 type Sync struct {
 	From    string          `cbor:"1,keyasint"`
@@ -49,11 +60,14 @@
 }
 
 // Read asks the owner of the configuration's partition for the newest document.
-type Read struct{}
+type Read struct {
+	Known uint64 `cbor:"1,keyasint,omitempty"` // index of the document that the caller has; it is not sent again
+}
 
-// ReadAnswer holds the document; empty: there is none yet.
+// ReadAnswer holds the document; empty: there is none yet, or the caller has it.
 type ReadAnswer struct {
 	Document []byte `cbor:"1,keyasint,omitempty"`
+	Index    uint64 `cbor:"2,keyasint,omitempty"` // of the document in its partition's log; 0: there is none yet
 }
 
 // The calls between control members.
@@ -62,6 +76,9 @@
 	CallRead  rpc.Procedure[Read, ReadAnswer]   = "/control/Read"
 )
 
+// CallConfirm asks any control member for the newest document, as the leader knows it under its lease at that moment.
+const CallConfirm rpc.Procedure[Read, ReadAnswer] = "/control/Confirm"
+
 // Watch asks an agent for the state of the fleet once it differs from what the proxy knows.
 type Watch struct {
 	Revision uint64 `cbor:"1,keyasint,omitempty"` // of the snapshot known
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -33,6 +33,7 @@
 	changed  chan struct{} // closed at the next change
 	onNews   func(news []replica.Entry, from string, known bool)
 	onBeat   func(beat message.Beat)
+	standing func() message.Standing
 	snapshot replica.Snapshot
 }
 
@@ -45,6 +46,9 @@
 	return n
 }
 
+// TellStanding has the answers to heartbeats tell what stands behind this copy; call it before Handle.
+func (n *Node) TellStanding(standing func() message.Standing) { n.standing = standing }
+
 // Handle serves the node's calls on the mux.
 func (n *Node) Handle(mux *http.ServeMux) {
 	message.CallBeat.Handle(mux, n.beat)
@@ -54,6 +58,9 @@
 // Put merges this router's own entries.
 func (n *Node) Put(entries ...replica.Entry) { n.merge(entries, "", false) }
 
+// Take merges entries that a peer gave.
+func (n *Node) Take(from string, entries ...replica.Entry) { n.merge(entries, from, false) }
+
 // Snapshot is the map as it is, with a channel that is closed at its next change.
 func (n *Node) Snapshot() (replica.Snapshot, <-chan struct{}) {
 	n.mu.Lock()
@@ -113,11 +120,14 @@
 	if n.onBeat != nil {
 		n.onBeat(*beat)
 	}
-	digest := n.digest()
-	if digest.Sum() == beat.Sum {
-		return &message.BeatAnswer{}, nil
+	answer := &message.BeatAnswer{}
+	if n.standing != nil {
+		answer.Standing = n.standing()
+	}
+	if digest := n.digest(); digest.Sum() != beat.Sum {
+		answer.Digest = &digest
 	}
-	return &message.BeatAnswer{Digest: &digest}, nil
+	return answer, nil
 }
 
 // sync serves entries that a peer brings.
@@ -129,17 +139,21 @@
 	return &message.SyncAnswer{Entries: n.missing(*sync.Digest)}, nil
 }
 
-// Beat sends a heartbeat to a peer, and where the copies differ brings both to one state.
-func (n *Node) Beat(ctx context.Context, address string, incarnation uint64) error {
+// Beat sends a heartbeat to a peer, and where the copies differ brings both to one state. It gives what stands behind the
+// peer's copy.
+func (n *Node) Beat(ctx context.Context, address string, incarnation uint64) (message.Standing, error) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	digest := n.digest()
 	beat := &message.Beat{From: n.name, Incarnation: incarnation, Sum: digest.Sum()}
 	answer, err := message.CallBeat.Call(ctx, n.client, address, beat)
-	if err != nil || answer.Digest == nil {
-		return err
+	if err != nil {
+		return message.Hearsay, err
+	}
+	if answer.Digest == nil {
+		return answer.Standing, nil
 	}
-	return n.exchange(ctx, address, *answer.Digest)
+	return answer.Standing, n.exchange(ctx, address, *answer.Digest)
 }
 
 // exchange sends what the peer may lack and takes what it has in return.
--- a/internal/mesh/status/gather_test.go
+++ b/internal/mesh/status/gather_test.go
@@ -28,7 +28,7 @@
 	entries := []replica.Entry{
 		settings,
 		topic.PeerEntry(topic.Controls, control, 3),
-		topic.DownEntry(topic.Routers, "edge-2", 4),
+		topic.DownEntry(topic.Routers, topic.Peer{Node: "edge-2"}, 4),
 		topic.PeerEntry(topic.Routers, edge, 1),
 		{Key: topic.Workers + "of another release", Value: []byte("?")},
 	}
--- a/internal/mesh/topic/topic.go
+++ b/internal/mesh/topic/topic.go
@@ -85,9 +85,12 @@
 	return replica.Entry{Key: prefix + peer.Node, Version: replica.Version{Major: incarnation, Minor: minorAlive}, Value: value}
 }
 
-// DownEntry says that a peer is down. It is no longer believed once the peer shows a larger incarnation.
-func DownEntry(prefix, node string, incarnation uint64) replica.Entry {
-	return replica.Entry{Key: prefix + node, Version: replica.Version{Major: incarnation, Minor: minorDown}}
+// DownEntry says that a peer is down. It is no longer believed once the peer shows a larger incarnation. Its address stays
+// known: it may live where nobody hears of it.
+func DownEntry(prefix string, peer Peer, incarnation uint64) replica.Entry {
+	entry := PeerEntry(prefix, peer, incarnation)
+	entry.Version.Minor = minorDown
+	return entry
 }
 
 // Down tells whether an entry says that its peer is down.
@@ -97,15 +100,22 @@
 func Peers(entries []replica.Entry) []Peer {
 	peers := make([]Peer, 0, len(entries))
 	for _, entry := range entries {
-		var peer Peer
-		if Down(entry) || cbor.Unmarshal(entry.Value, &peer) != nil {
-			continue
+		if peer, known := PeerOf(entry); known && !Down(entry) {
+			peers = append(peers, peer)
 		}
-		peers = append(peers, peer)
 	}
 	return peers
 }
 
+// PeerOf decodes the peer that an entry is about, one that is down included; false where its address is not known.
+func PeerOf(entry replica.Entry) (Peer, bool) {
+	var peer Peer
+	if cbor.Unmarshal(entry.Value, &peer) != nil {
+		return Peer{}, false
+	}
+	return peer, peer.Address != ""
+}
+
 // Node is the name of the peer that an entry is about.
 func Node(key string) string {
 	_, node, _ := strings.Cut(key, "/")
