--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -53,7 +53,12 @@
 }
 
 // Break puts faults into the agent; call it before Run.
-func (a *Agent) Break(faults Faults) { a.faults = faults }
+func (a *Agent) Break(faults Faults) {
+	a.faults = faults
+	if faults.TrustAnyMember {
+		a.members.IgnoreStanding()
+	}
+}
 
 // New makes an agent on a machine's network.
 func New(settings *boot.Settings, over network.Network, log zerolog.Logger) *Agent {
--- a/internal/control/member/faults.go
+++ b/internal/control/member/faults.go
@@ -14,9 +14,18 @@
 	ReadUnconfirmed bool
 	// AcknowledgeAlone acknowledges that a worker ends though no other member has heard of it.
 	AcknowledgeAlone bool
+	// AcknowledgeByTwo acknowledges it once one other member has heard of it, however many there are.
+	AcknowledgeByTwo bool
+	// IgnoreStanding looks for no routers that are taken for down.
+	IgnoreStanding bool
 	// LeaveAtOnce ends a member that was told to end without regard to the others.
 	LeaveAtOnce bool
 }
 
 // Break puts faults into the member; call it before Run.
-func (m *Member) Break(faults Faults) { m.faults = faults }
+func (m *Member) Break(faults Faults) {
+	m.faults = faults
+	if faults.IgnoreStanding {
+		m.members.IgnoreStanding()
+	}
+}
--- /dev/null
+++ b/internal/control/member/heartbeats.go
@@ -0,0 +1,85 @@
+package member
+
+import (
+	"context"
+
+	"sumacloft/internal/control/registry"
+	"sumacloft/internal/mesh/replica"
+	"sumacloft/internal/mesh/topic"
+)
+
+// Beat serves steering.Workers.
+func (m *Member) Beat(ctx context.Context, beat registry.Beat) (string, error) {
+	m.mu.Lock()
+	changed := m.registry.Beat(m.now(), beat)
+	worker, known := m.registry.Find(beat.ID)
+	m.mu.Unlock()
+	if known {
+		if err := m.tell(ctx, worker, changed); err != nil {
+			return "", err
+		}
+	}
+	if !m.isLed(leaderless) {
+		return "", Error.New("this member is cut off from the others: tell another one")
+	}
+	return m.beatTo(beat), nil
+}
+
+// Leave serves steering.Workers.
+func (m *Member) Leave(ctx context.Context, id string) error {
+	m.mu.Lock()
+	changed := m.registry.Leave(m.now(), id, 0)
+	worker, known := m.registry.Find(id)
+	m.mu.Unlock()
+	if known {
+		return m.tell(ctx, worker, changed)
+	}
+	return nil
+}
+
+// tell has the fleet know of a worker's change. The news of one that ends is with a majority of the control members before
+// it is acknowledged: whichever of them are cut off or lost right after, one that routers hear has it and passes it on.
+func (m *Member) tell(ctx context.Context, worker registry.Worker, changed bool) error {
+	entry := registry.EntryOf(worker)
+	if changed {
+		m.members.Node().Put(entry)
+	}
+	if worker.State == registry.Up || m.isConfirmed(worker) {
+		return nil
+	}
+	wanted := m.members.OthersForMajority(m.voters())
+	switch {
+	case m.faults.AcknowledgeAlone:
+		wanted = 0
+	case m.faults.AcknowledgeByTwo:
+		wanted = 1
+	}
+	if !m.members.Confirm(ctx, []replica.Entry{entry}, wanted, confirmLimit) {
+		return Error.New("too few other control members hear of worker %s's end: tell another one", worker.ID)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.confirmed[worker.ID] = worker.State
+	return nil
+}
+
+func (m *Member) isConfirmed(worker registry.Worker) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state, found := m.confirmed[worker.ID]
+	return found && state == worker.State
+}
+
+// beatTo is the control member in a worker's own zone, where there is one: heartbeats between zones have a price.
+func (m *Member) beatTo(beat registry.Beat) string {
+	if beat.Zone == m.settings.Zone {
+		return ""
+	}
+	snapshot, _ := m.members.Node().Snapshot()
+	for _, peer := range topic.Peers(snapshot.Prefix(topic.Controls)) {
+		if peer.Zone == beat.Zone {
+			return peer.Steering
+		}
+	}
+	return ""
+}
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -227,25 +227,6 @@
 	return nil
 }
 
-const (
-	// leaveMargin is what of the grace is left when the member ends whether the others can do without it or not.
-	leaveMargin = 1500 * time.Millisecond
-	// leaveWait is how long calls that are under way are given to end.
-	leaveWait = 600 * time.Millisecond
-)
-
-// leave hands over what this member leads, waits until the others can do without it, tells them that it ends, and serves
-// on for a moment.
-func (m *Member) leave() {
-	ctx, cancel := context.WithTimeout(context.Background(), max(m.settings.Rules.Grace-leaveMargin, 0))
-	defer cancel()
-	if !m.faults.LeaveAtOnce && !m.host.Leave(ctx) {
-		m.log.Warn().Msg("ending though the other members may not hold everything")
-	}
-	m.members.Leave()
-	time.Sleep(leaveWait)
-}
-
 // Close ends the member's servers.
 func (m *Member) Close() {
 	for _, server := range m.servers {
@@ -257,10 +238,16 @@
 
 func (m *Member) now() time.Duration { return time.Since(m.began) }
 
+// isLed tells whether, within the limit, this member heard of the leaders of all partitions and is heard itself: by a
+// majority, if it leads, or by another member that is led.
+func (m *Member) isLed(limit time.Duration) bool {
+	return m.host.Led(limit) && (m.host.Leads() || m.members.InContact(leaderless))
+}
+
 // standing is what stands behind this member's copy of the fleet's state.
 func (m *Member) standing() message.Standing {
 	switch {
-	case m.host.Led(ledLimit):
+	case m.isLed(ledLimit):
 		return message.Led
 	case m.host.Voter():
 		return message.Durable
@@ -268,79 +255,6 @@
 	return message.Hearsay
 }
 
-// Beat serves steering.Workers.
-func (m *Member) Beat(ctx context.Context, beat registry.Beat) (string, error) {
-	m.mu.Lock()
-	changed := m.registry.Beat(m.now(), beat)
-	worker, known := m.registry.Find(beat.ID)
-	m.mu.Unlock()
-	if known {
-		if err := m.tell(ctx, worker, changed); err != nil {
-			return "", err
-		}
-	}
-	if !m.host.Led(leaderless) {
-		return "", Error.New("this member is cut off from the others: tell another one")
-	}
-	return m.beatTo(beat), nil
-}
-
-// Leave serves steering.Workers.
-func (m *Member) Leave(ctx context.Context, id string) error {
-	m.mu.Lock()
-	changed := m.registry.Leave(m.now(), id, 0)
-	worker, known := m.registry.Find(id)
-	m.mu.Unlock()
-	if known {
-		return m.tell(ctx, worker, changed)
-	}
-	return nil
-}
-
-// tell has the fleet know of a worker's change. The news of one that ends is with a majority of the control members before
-// it is acknowledged: whichever of them are cut off or lost right after, one that routers hear has it and passes it on.
-func (m *Member) tell(ctx context.Context, worker registry.Worker, changed bool) error {
-	entry := registry.EntryOf(worker)
-	if changed {
-		m.members.Node().Put(entry)
-	}
-	if worker.State == registry.Up || m.isConfirmed(worker) {
-		return nil
-	}
-	wanted := m.members.OthersForMajority(m.voters())
-	if m.faults.AcknowledgeAlone {
-		wanted = 0
-	}
-	if !m.members.Confirm(ctx, []replica.Entry{entry}, wanted, confirmLimit) {
-		return Error.New("too few other control members hear of worker %s's end: tell another one", worker.ID)
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.confirmed[worker.ID] = worker.State
-	return nil
-}
-
-func (m *Member) isConfirmed(worker registry.Worker) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	state, found := m.confirmed[worker.ID]
-	return found && state == worker.State
-}
-
-// beatTo is the control member in a worker's own zone, where there is one: heartbeats between zones have a price.
-func (m *Member) beatTo(beat registry.Beat) string {
-	if beat.Zone == m.settings.Zone {
-		return ""
-	}
-	snapshot, _ := m.members.Node().Snapshot()
-	for _, peer := range topic.Peers(snapshot.Prefix(topic.Controls)) {
-		if peer.Zone == beat.Zone {
-			return peer.Steering
-		}
-	}
-	return ""
-}
-
 // news takes what other members tell of workers.
 func (m *Member) news(news []replica.Entry) {
 	m.mu.Lock()
--- a/internal/control/partition/host.go
+++ b/internal/control/partition/host.go
@@ -90,6 +90,7 @@
 	stopped bool
 	ledAt   atomic.Int64 // as time.Duration: all partitions had a leader
 	voter   atomic.Bool  // in all partitions
+	leading atomic.Bool  // one of the partitions at least
 }
 
 // joiner is a machine that asked to join, and when.
@@ -302,14 +303,16 @@
 
 // flush carries out what the nodes want done.
 func (h *Host) flush() {
-	led, voter := len(h.groups) > 0, len(h.groups) > 0
+	led, voter, leading := len(h.groups) > 0, len(h.groups) > 0, false
 	for _, g := range h.groups {
 		h.carryOut(g, g.node.TakeOutput())
 		h.noteLead(g)
 		_, known := g.node.Leader()
 		led = led && known
 		voter = voter && g.node.IsVoter()
+		leading = leading || g.node.IsLeader()
 	}
+	h.leading.Store(leading)
 	h.voter.Store(voter)
 	if led {
 		h.ledAt.Store(int64(h.now()))
--- a/internal/control/partition/status.go
+++ b/internal/control/partition/status.go
@@ -71,6 +71,9 @@
 // Voter tells whether this member votes in all partitions, as far as it knows.
 func (h *Host) Voter() bool { return h.voter.Load() }
 
+// Leads tells whether this member leads a partition. A majority has answered it within its lease then.
+func (h *Host) Leads() bool { return h.leading.Load() }
+
 // Led tells whether, within the limit, this member knew a leader of every partition. One that did not is cut off from the
 // others, or the others are lost.
 func (h *Host) Led(limit time.Duration) bool {
--- a/internal/fleettest/edge.go
+++ b/internal/fleettest/edge.go
@@ -17,10 +17,11 @@
 	IP   string
 	Zone string
 
-	fleet   *Fleet
-	machine *memnet.Machine
-	agent   life
-	proxy   life
+	fleet    *Fleet
+	machine  *memnet.Machine
+	starters []string // of the boot file; empty: all members that there are
+	agent    life
+	proxy    life
 }
 
 // life is one life of a process.
@@ -51,6 +52,9 @@
 
 func (e *Edge) settings() *boot.Settings {
 	settings := e.fleet.settings(e.Node, e.IP, e.Zone)
+	if len(e.starters) > 0 {
+		settings.Starters = e.starters
+	}
 	settings.ListenOn.Front = e.Front()
 	settings.ListenOn.Ready = fmt.Sprintf("%s:%d", e.IP, readyPort)
 	return settings
--- a/internal/fleettest/history.go
+++ b/internal/fleettest/history.go
@@ -27,9 +27,13 @@
 	builtOn uint64
 	version uint64
 	mark    string
+	whole   bool // with the routes that edges serve, and one of its own
 }
 
 func (o markedOrder) document() string {
+	if o.whole {
+		return strings.Replace(Document(o.version, fmt.Sprintf("r%d", o.version)), "{", fmt.Sprintf(`{"mark":%q,`, o.mark), 1)
+	}
 	return fmt.Sprintf(`{"version":%d,"routes":[],"services":[{"name":"s"}],"mark":%q}`, o.version, o.mark)
 }
 
@@ -91,6 +95,11 @@
 	})
 }
 
+// start has the history begin with a configuration that is there.
+func (h *history) start(version uint64) {
+	h.ops = append(h.ops, porcupine.Operation{Input: action{status: http.StatusOK, order: markedOrder{version: version}}, Call: 0, Return: 1})
+}
+
 // register is the configuration as a plain register, in the form that the checker compares: the current version and mark, and
 // the keys of orders that were taken and refused, each with a comma after it, sorted.
 type register struct {
@@ -149,12 +158,29 @@
 	DescribeOperation: func(input, _ any) string { return input.(action).String() },
 }
 
+// distinct gives the calls, of those without a clear answer only the first for each order: it may take effect at any time
+// after it, as the later ones may, and an order takes effect once.
+func (h *history) distinct() []porcupine.Operation {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	first := map[string]int64{}
+	for _, op := range h.ops {
+		if done := op.Input.(action); done.status == 0 {
+			if call, seen := first[done.order.key()]; !seen || op.Call < call {
+				first[done.order.key()] = op.Call
+			}
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(h.ops), func(op porcupine.Operation) bool {
+		done := op.Input.(action)
+		return done.status == 0 && op.Call != first[done.order.key()]
+	})
+}
+
 // judge checks that one order of all calls, each between its beginning and its answer, explains what the operators saw. It
 // gives the history where there is none, and "" where there is one.
 func (h *history) judge() string {
-	h.mu.Lock()
-	ops := slices.Clone(h.ops)
-	h.mu.Unlock()
+	ops := h.distinct()
 	if porcupine.CheckOperations(registerModel, ops) {
 		return ""
 	}
--- a/internal/fleettest/staleness_test.go
+++ b/internal/fleettest/staleness_test.go
@@ -34,9 +34,10 @@
 	return stale
 }
 
-func TestRouterThatStartsBesideAStaleMember(t *testing.T) {
-	Run(t, Plan{}, func(c *qt.C, f *Fleet) {
-		// Given an edge that starts while it reaches no member but a stale one, as the others are down for a moment.
+// startsBesideStale tells whether an edge that starts beside a stale member, while the others are down for a moment, soon
+// works by the newest configuration.
+func startsBesideStale(t *testing.T, faults Faults) (works bool) {
+	runAlone(t, Plan{Faults: faults}, func(c *qt.C, f *Fleet) {
 		stale := beside(f)
 		edge := f.Edges[0]
 		edge.Stop()
@@ -46,11 +47,34 @@
 		time.Sleep(time.Second)
 		edge.Start()
 		time.Sleep(2 * time.Second)
-		// When the others are back.
+		// The others are back; the member stays cut off from them.
 		for _, other := range f.Others(stale) {
 			other.PowerOn()
 		}
-		// Then the edge soon works by the newest configuration.
-		f.Until(inTouch, "the newest configuration in force", func() bool { return serves(f, edge, "/new/x") })
+		for end := f.Now() + inTouch; !works && f.Now() < end; time.Sleep(checkInterval) {
+			works = serves(f, edge, "/new/x")
+		}
+	})
+	return works
+}
+
+func TestRouterThatStartsBesideAStaleMember(t *testing.T) {
+	t.Parallel()
+	for range 5 {
+		qt.New(t).Assert(startsBesideStale(t, Faults{}), qt.IsTrue)
+	}
+}
+
+func TestRouterWhoseStartersAreAllGoneIsFound(t *testing.T) {
+	Run(t, Plan{}, func(c *qt.C, f *Fleet) {
+		// Given an edge whose boot file names a member that is cut off, and addresses where nobody is any more.
+		stale := beside(f)
+		edge := f.Edges[0]
+		edge.Stop()
+		time.Sleep(time.Second)
+		edge.starters = []string{stale.Steering(), "10.0.200.1:7100", "10.0.201.1:7100"}
+		// When it starts, then the others look for it where it was, and it works by the newest configuration.
+		edge.Start()
+		f.Until(2*inTouch, "the newest configuration in force", func() bool { return serves(f, edge, "/new/x") })
 	})
 }
--- a/internal/mesh/membership/contact.go
+++ b/internal/mesh/membership/contact.go
@@ -31,10 +31,17 @@
 	m.contact = contact{made: true, at: time.Since(m.began)}
 }
 
+// IgnoreStanding has this router take any control member for one that hears of a leader, and seek nobody: a deliberate
+// violation, for the tests of the tests.
+func (m *Membership) IgnoreStanding() { m.ignoreStanding = true }
+
 // InContact tells whether, within the limit, a control member has answered that hears of the leader of every partition.
 func (m *Membership) InContact(limit time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.ignoreStanding {
+		return true
+	}
 	return m.contact.made && time.Since(m.began)-m.contact.at <= limit
 }
 
@@ -97,7 +104,7 @@
 // seek has a control member that hears of a leader greet one router that is taken for down. That one may live and know of
 // nobody but a member that is cut off: it could not find the others by itself.
 func (m *Membership) seek(ctx context.Context, snapshot replica.Snapshot, now time.Duration) {
-	if m.config.Led == nil || !m.config.Led() {
+	if m.config.Led == nil || !m.config.Led() || m.ignoreStanding {
 		return
 	}
 	entries := append(snapshot.Prefix(topic.Routers), snapshot.Prefix(topic.Controls)...)
--- a/internal/mesh/membership/membership.go
+++ b/internal/mesh/membership/membership.go
@@ -72,6 +72,8 @@
 	waiting     gathered
 	contact     contact
 	lost        lost
+
+	ignoreStanding bool
 }
 
 // New makes the membership of a router.
