A member that was dropped while it was cut off asks to be counted again

Change: a member that hears of no leader for 2 s asks to join; leaders that count it take no notice, others take it in again as who it is, as its disk is whole. Broken builds found: a dropped member that waits, voters dropped whoever is left, members that end at once.

--- a/internal/control/partition/duties.go
+++ b/internal/control/partition/duties.go
@@ -11,6 +11,8 @@
 const (
 	// joinMemory is how long a wish to join is remembered; it is repeated at every duty.
 	joinMemory = 2 * time.Second
+	// unledLimit is for how long a member hears of no leader before it asks to join.
+	unledLimit = 2 * time.Second
 	// leaveInterval is how often a member that is about to end says so.
 	leaveInterval = 100 * time.Millisecond
 	// leaveMemory is how long that word is remembered. It is short: the member may be back at once, and one that is taken
@@ -30,7 +32,7 @@
 	delete(h.joining, id)
 	last, before := h.leaving[id]
 	h.leaving[id] = h.now()
-	if !before || h.now()-last > leaveMemory {
+	if !before || h.now()-last > h.leaveMemory() {
 		return nil // its place is looked at first
 	}
 	for _, g := range h.groups {
@@ -42,9 +44,11 @@
 	return mayLeave
 }
 
-// duties asks to join where this member is in no partition, and has the partitions that it leads follow the machines.
+// duties asks to join where this member is in no partition, and has the partitions that it leads follow the machines. A
+// member that hears of no leader asks too: it may have been dropped while it was cut off, and would never hear of it. Its
+// disk is whole, so it comes back as who it is; leaders that count it already take no notice.
 func (h *Host) duties(ctx context.Context) {
-	outside := false
+	outside := !h.Led(unledLimit) && !h.config.Faults.WaitOutside
 	for _, g := range h.groups {
 		status := g.node.Status()
 		outside = outside || !isMember(status.Membership, h.config.Self.ID)
@@ -68,6 +72,14 @@
 	return false
 }
 
+// leaveMemory is how long the word that a member ends is remembered.
+func (h *Host) leaveMemory() time.Duration {
+	if h.config.Faults.LongLeave {
+		return 20 * leaveMemory
+	}
+	return leaveMemory
+}
+
 // situation is what this member, a partition's leader, knows of its membership.
 func (h *Host) situation(g *group, status consensus.Status) reconfigure.Situation {
 	now := h.now()
@@ -87,7 +99,7 @@
 		situation.Joining = append(situation.Joining, wish.member)
 	}
 	for id, at := range h.leaving {
-		if now-at > leaveMemory {
+		if now-at > h.leaveMemory() {
 			delete(h.leaving, id)
 			continue
 		}
--- a/internal/control/partition/host.go
+++ b/internal/control/partition/host.go
@@ -74,6 +74,10 @@
 type Faults struct {
 	// DropFirst drops voters that end or are silent whoever is left.
 	DropFirst bool
+	// LongLeave remembers for ten seconds that a member said it ends.
+	LongLeave bool
+	// WaitOutside has a member that was dropped without hearing of it wait to be counted again.
+	WaitOutside bool
 }
 
 // Host runs the partitions. Use Open, then Run.
--- a/internal/control/reconfigure/reconfigure.go
+++ b/internal/control/reconfigure/reconfigure.go
@@ -29,7 +29,7 @@
 	Target  int // voters wanted
 	// Settled is the commit index as it was a moment ago: who counts as a voter holds all up to it.
 	Settled consensus.Index
-	// DropFirst drops a leaving or silent voter whoever is left, for the tests of the tests.
+	// DropFirst drops a leaving or silent voter before another votes and whoever is left, for the tests of the tests.
 	DropFirst bool
 }
 
@@ -88,11 +88,11 @@
 // dropSurplus drops a voter that is leaving or silent while there are more than are wanted.
 func dropSurplus(s Situation) (consensus.Membership, bool) {
 	voters := s.Status.Membership.Voters
-	if len(voters) <= s.Target && !s.DropFirst {
+	if len(voters) <= s.Target {
 		return consensus.Membership{}, false
 	}
 	for _, voter := range voters {
-		goes := slices.Contains(s.Leaving, voter.ID) || len(voters) > s.Target && s.silent(voter.ID, silentLimit)
+		goes := slices.Contains(s.Leaving, voter.ID) || s.silent(voter.ID, silentLimit)
 		if goes && voter.ID != s.Status.Self && s.bears(voter.ID) {
 			return without(s.Status.Membership, voter.ID), true
 		}
@@ -106,7 +106,8 @@
 		return consensus.Membership{}, false
 	}
 	for _, voter := range s.Status.Membership.Voters {
-		if voter.ID != s.Status.Self && s.silent(voter.ID, silentLimit) && s.bears(voter.ID) {
+		goes := s.silent(voter.ID, silentLimit) || s.DropFirst && slices.Contains(s.Leaving, voter.ID)
+		if goes && voter.ID != s.Status.Self && s.bears(voter.ID) {
 			return without(s.Status.Membership, voter.ID), true
 		}
 	}
@@ -159,7 +160,7 @@
 func (s Situation) staying() int {
 	count := 0
 	for _, voter := range s.Status.Membership.Voters {
-		if !slices.Contains(s.Leaving, voter.ID) {
+		if s.DropFirst || !slices.Contains(s.Leaving, voter.ID) {
 			count++
 		}
 	}
--- a/internal/control/reconfigure/reconfigure_test.go
+++ b/internal/control/reconfigure/reconfigure_test.go
@@ -149,11 +149,14 @@
 	_, change = Next(s)
 	c.Assert(change, qt.IsFalse)
 	c.Assert(MayLeave(s, 2), qt.IsFalse)
-	// the build without this rule drops it, and is left with a silent one and one that holds nothing.
+	// The build without this rule drops it, and is left with one that is silent.
+	s = situation(3, 1)
+	s.Leaving = []consensus.MemberID{2}
+	s.Status.Members[2].LastContact = now - silentLimit - 1
 	s.DropFirst = true
 	next, change = Next(s)
 	c.Assert(change, qt.IsTrue)
-	c.Assert(ids(next.Voters), qt.DeepEquals, []int{1, 3, 4})
+	c.Assert(ids(next.Voters), qt.DeepEquals, []int{1, 3})
 }
 
 func TestMemberEndsOnlyOnceTheOthersHoldEverything(t *testing.T) {
--- a/internal/fleettest/control.go
+++ b/internal/fleettest/control.go
@@ -45,13 +45,28 @@
 // at another address. The others' settings stay as they are.
 func (f *Fleet) Replace(lost int, ip string) *Control {
 	f.Controls[lost].PowerOff()
-	fresh := f.newControl(len(f.Controls)+lost, ip)
-	fresh.Zone = f.Controls[lost].Zone
+	fresh := f.Add(f.Controls[lost], ip)
+	f.put(lost, fresh)
+	return fresh
+}
+
+// Add starts a member with an empty disk and a new name that is to take another's place.
+func (f *Fleet) Add(instead *Control, ip string) *Control {
+	f.mu.Lock()
+	f.added++
+	number := len(f.Controls) + f.added
+	f.mu.Unlock()
+	fresh := f.newControl(number, ip)
+	fresh.Zone = instead.Zone
 	fresh.Start(false)
+	return fresh
+}
+
+// put has a member stand in another's place.
+func (f *Fleet) put(place int, fresh *Control) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.Controls[lost] = fresh
-	return fresh
+	f.Controls[place] = fresh
 }
 
 // anyControl draws one of the control members; it may be called while others are replaced.
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -64,6 +64,8 @@
 	running sync.WaitGroup // processes
 
 	mu      sync.Mutex
+	added   int                // control members beyond the first ones
+	fresh   int                // addresses given to them
 	workers map[string]*Worker // by address
 	ends    []func()           // what ends the processes
 }
--- a/internal/fleettest/settings_test.go
+++ b/internal/fleettest/settings_test.go
@@ -30,6 +30,16 @@
 	})
 }
 
+// reads tells whether a member gives the configuration of a version within the time of a recovery.
+func (f *Fleet) reads(at *Control, version uint64) bool {
+	for end := f.Now() + recovery; f.Now() < end; time.Sleep(checkInterval) {
+		if status, document := f.Operator.Read(at); status == http.StatusOK && gjson.Get(document, "version").Uint() == version {
+			return true
+		}
+	}
+	return false
+}
+
 // becomesVoter waits until a member is a voter of the settings' partition, under an identity other than one.
 func becomesVoter(f *Fleet, control *Control, other string) {
 	f.t.Helper()
