Orders are packed in the log; members that lag get little; times of catching up measured

A log entry of a large configuration was its whole text, and 32 of them were kept for members that lag: 3 MB at 87 KB each, 2.6 s at 10 Mbit/s. An old record of an order is still read; a release before this one can't read new ones.

--- a/internal/control/configstate/order.go
+++ b/internal/control/configstate/order.go
@@ -47,23 +47,41 @@
 	Body    []byte // JSON as the operator sent it
 }
 
+// packedOrder is an order in the log: documents repeat themselves, so packed ones are a tenth of their size on the disks and
+// on the links between replicas.
+type packedOrder struct {
+	_       struct{} `cbor:",toarray"`
+	Kind    OrderKind
+	BuiltOn uint64
+	Length  int    // of the body
+	Packed  []byte // the body, with DEFLATE
+}
+
 // Encode returns the order as an entry of the log.
 func (o Order) Encode() ([]byte, error) {
-	entry, err := cbor.Marshal(o)
+	entry, err := cbor.Marshal(packedOrder{Kind: o.Kind, BuiltOn: o.BuiltOn, Length: len(o.Body), Packed: pack(o.Body)})
 	if err != nil {
 		return nil, Error.New("order cannot be encoded, report this as a defect: %w", err)
 	}
 	return entry, nil
 }
 
-// DecodeOrder reads an order from an entry of the log.
+// DecodeOrder reads an order from an entry of the log, also from one of a release that did not pack them.
 func DecodeOrder(entry []byte) (Order, error) {
-	var order Order
-	err := cbor.Unmarshal(entry, &order)
+	var plain Order
+	if cbor.Unmarshal(entry, &plain) == nil {
+		return plain, nil
+	}
+	var packed packedOrder
+	err := cbor.Unmarshal(entry, &packed)
 	if err != nil {
 		return Order{}, Error.New("log entry holds no order, restore this replica from another one: %w", err)
 	}
-	return order, nil
+	body, err := unpack(packed.Packed, packed.Length)
+	if err != nil {
+		return Order{}, Error.New("the order in a log entry is damaged, restore this replica from another one: %w", err)
+	}
+	return Order{Kind: packed.Kind, BuiltOn: packed.BuiltOn, Body: body}, nil
 }
 
 // version is the version that the order would make, 0 where it can't be read.
--- a/internal/control/consensus/config.go
+++ b/internal/control/consensus/config.go
@@ -7,6 +7,8 @@
 	DefaultMaxBatchBytes = 256 << 10
 	DefaultMaxInflight   = 16
 	DefaultCompactMargin = 1024
+	// DefaultCompactMarginBytes is the default of Config.CompactMarginBytes.
+	DefaultCompactMarginBytes = 256 << 10
 
 	// defaultDriftShare is the share of the election timeout that the margin for
 	// clock drift takes by default.
@@ -34,6 +36,9 @@
 	// MaxInflight bounds the unanswered appends to one member. Default:
 	// DefaultMaxInflight.
 	MaxInflight int
+	// CompactMarginBytes bounds the data of these entries. Default:
+	// DefaultCompactMarginBytes.
+	CompactMarginBytes int
 	// CompactMargin is how many entries before a snapshot are kept for members that
 	// lag a little. Default: DefaultCompactMargin; negative: none.
 	CompactMargin int
@@ -44,6 +49,8 @@
 
 // faults are deliberate violations of the algorithm. All are off outside tests.
 type faults struct {
+	// restartSnapshot begins anew with a newer snapshot while one is being sent.
+	restartSnapshot bool
 	// acknowledgeBeforePersist lets votes and answers go out before the disk has
 	// what they say.
 	acknowledgeBeforePersist bool
@@ -105,5 +112,8 @@
 		config.CompactMargin = DefaultCompactMargin
 	}
 	config.CompactMargin = max(config.CompactMargin, 0)
+	if config.CompactMarginBytes <= 0 {
+		config.CompactMarginBytes = DefaultCompactMarginBytes
+	}
 	return config, nil
 }
--- a/internal/control/consensus/log.go
+++ b/internal/control/consensus/log.go
@@ -106,6 +106,20 @@
 	}
 }
 
+// marginBefore returns the index up to which entries are dropped such that so many
+// of those up to an index are kept, with so many bytes of data, at most.
+func (log *replicatedLog) marginBefore(index Index, count, maxBytes int) Index {
+	size := 0
+	for kept := 0; index > log.baseIndex && kept < count; kept++ {
+		size += len(log.entries[index-log.baseIndex-1].Data) + entryOverheadBytes
+		if size > maxBytes {
+			break
+		}
+		index--
+	}
+	return index
+}
+
 // compact drops the entries up to and including an index.
 func (log *replicatedLog) compact(index Index) {
 	term, known := log.term(index)
--- a/internal/control/consensus/model_world_test.go
+++ b/internal/control/consensus/model_world_test.go
@@ -39,8 +39,9 @@
 	lastTerm consensus.Term
 	budget   budget
 	// stand and crash name the members whose timeouts end, and those that crash; none: all of them.
-	stand []consensus.MemberID
-	crash []consensus.MemberID
+	stand   []consensus.MemberID
+	leaving []consensus.MemberID // members that say they are about to end
+	crash   []consensus.MemberID
 	// inTurn has the members of stand lapse one after the other, once each.
 	inTurn bool
 	// disks are what the members find at their start, if they do not begin anew.
--- a/internal/control/consensus/scenario_test.go
+++ b/internal/control/consensus/scenario_test.go
@@ -135,6 +135,29 @@
 	})
 }
 
+// getsSnapshot tells whether a member gets to the end of a snapshot though a newer one is taken after each of its parts.
+func getsSnapshot(c *qt.C, broken faults) bool {
+	simulated := newCluster(1, 3, broken)
+	simulated.run(calm)
+	leader, lagging := simulated.leader(), simulated.follower()
+	c.Assert(leader, qt.IsNotNil)
+	node := leader.node
+	node.snapshot = Snapshot{Index: node.commit, Term: node.hard.Term, Data: make([]byte, 3*simMaxBatchBytes)}
+	progress := node.leading.progress[lagging.id]
+	node.startSnapshot(lagging.id, progress)
+	for range 20 {
+		node.snapshot.Index++
+		wanted := min(progress.offset+simMaxBatchBytes, uint64(len(progress.snapshot.Data)))
+		answer := Message{From: lagging.id, Kind: MessageSnapshotAnswer, LogIndex: progress.snapshot.Index, Offset: progress.offset, Wanted: wanted}
+		node.handleSnapshotAnswer(answer)
+		if progress.offset == uint64(len(progress.snapshot.Data)) {
+			return true
+		}
+		node.sendSnapshotPart(lagging.id, progress)
+	}
+	return false
+}
+
 func TestSnapshots(t *testing.T) {
 	c := qt.New(t)
 
@@ -152,6 +175,11 @@
 		c.Assert(lagging.state, qt.Equals, simulated.leader().state)
 	})
 
+	c.Run("given a newer snapshot after each part of one, when a member gets it, then it comes to its end", func(c *qt.C) {
+		c.Assert(getsSnapshot(c, faults{}), qt.IsTrue)
+		c.Assert(getsSnapshot(c, faults{restartSnapshot: true}), qt.IsFalse)
+	})
+
 	c.Run("given state not yet applied, when a snapshot claims it, then it is refused", func(c *qt.C) {
 		_, leader := startedCluster(c, 1)
 		c.Assert(Error.Has(leader.node.Compact(Snapshot{Index: 99})), qt.IsTrue)
--- a/internal/control/consensus/snapshot.go
+++ b/internal/control/consensus/snapshot.go
@@ -22,9 +22,7 @@
 	}
 	node.snapshot = snapshot
 	node.memberships.compact(snapshot.Index)
-	if margin := Index(node.config.CompactMargin); snapshot.Index > margin {
-		node.log.compact(max(node.log.baseIndex, snapshot.Index-margin))
-	}
+	node.log.compact(node.log.marginBefore(snapshot.Index, node.config.CompactMargin, node.config.CompactMarginBytes))
 	return nil
 }
 
@@ -51,6 +49,9 @@
 	if progress.paused {
 		return
 	}
+	if node.config.faults.restartSnapshot && node.snapshot.Index > progress.snapshot.Index {
+		progress.sendSnapshot(node.snapshot)
+	}
 	progress.paused = true
 	snapshot := progress.snapshot
 	size := uint64(len(snapshot.Data))
--- a/internal/control/partition/transport.go
+++ b/internal/control/partition/transport.go
@@ -47,8 +47,10 @@
 )
 
 const (
-	// sendLimit bounds one call to a peer.
+	// sendLimit bounds one call to a peer that carries little.
 	sendLimit = 700 * time.Millisecond
+	// slowestLink is the rate, in bytes a second, at which a call may carry what it does: 10 Mbit/s.
+	slowestLink = 10 << 20 / 8
 	// queueLimit bounds the messages that wait for a peer; older ones are dropped, consensus makes up for them.
 	queueLimit = 512
 )
@@ -185,7 +187,7 @@
 		if len(items) == 0 {
 			return
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), sendLimit)
+		ctx, cancel := context.WithTimeout(context.Background(), timeFor(items))
 		answer, err := callStep.Call(ctx, p.shared.client, p.address, &Step{Items: items, From: p.shared.self})
 		cancel()
 		if err != nil {
@@ -198,6 +200,20 @@
 	}
 }
 
+// timeFor is how long a call may take that carries messages.
+func timeFor(items []Item) time.Duration {
+	size := 0
+	for _, item := range items {
+		for _, entry := range item.Message.Entries {
+			size += len(entry.Data)
+		}
+		if part := item.Message.Snapshot; part != nil {
+			size += len(part.Data)
+		}
+	}
+	return sendLimit + time.Duration(float64(size)/slowestLink*float64(time.Second))
+}
+
 func (p *sender) take() []Item {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/fleettest/memnet/conn.go
+++ b/internal/fleettest/memnet/conn.go
@@ -154,7 +154,7 @@
 		}
 		return
 	}
-	s.due = time.Now().Add(c.fabric.delayOf(here, there))
+	s.due = time.Now().Add(c.fabric.delayOf(here, there) + c.fabric.takes(here, there, len(s.data)))
 	if n := len(c.peer.inbox); n > 0 && s.due.Before(c.peer.inbox[n-1].due) {
 		s.due = c.peer.inbox[n-1].due
 	}
--- a/internal/fleettest/memnet/fabric.go
+++ b/internal/fleettest/memnet/fabric.go
@@ -38,6 +38,9 @@
 	links    map[way]Link
 	delay    time.Duration
 	delays   map[way]time.Duration
+	rates    map[way]float64   // bytes a second
+	busy     map[way]time.Time // until when what was sent takes up a link with a rate
+	carried  map[way]int64     // bytes
 	loss     float64
 	changed  chan struct{} // closed when links or machines change
 	port     int
@@ -50,6 +53,9 @@
 		links:    map[way]Link{},
 		delay:    delay,
 		delays:   map[way]time.Duration{},
+		rates:    map[way]float64{},
+		busy:     map[way]time.Time{},
+		carried:  map[way]int64{},
 		changed:  make(chan struct{}),
 		port:     firstEphemeral,
 	}
@@ -90,6 +96,37 @@
 	f.delays[way{other, one}] = delay
 }
 
+// Rate sets how many bytes a second the links between two machines carry in each direction; 0: any number.
+func (f *Fabric) Rate(one, other string, bytes float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rates[way{one, other}] = bytes
+	f.rates[way{other, one}] = bytes
+}
+
+// Carried is how many bytes were sent over connections from one machine to another.
+func (f *Fabric) Carried(from, to string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.carried[way{from, to}]
+}
+
+// takes is how long a link is taken up, from now on, until so many more bytes have left.
+func (f *Fabric) takes(from, to string, bytes int) time.Duration {
+	link := way{from, to}
+	f.carried[link] += int64(bytes)
+	rate := f.rates[link]
+	if rate <= 0 {
+		return 0
+	}
+	now := time.Now()
+	if f.busy[link].Before(now) {
+		f.busy[link] = now
+	}
+	f.busy[link] = f.busy[link].Add(time.Duration(float64(bytes) / rate * float64(time.Second)))
+	return f.busy[link].Sub(now)
+}
+
 // Loss sets the part of all datagrams that is lost.
 func (f *Fabric) Loss(part float64) {
 	f.mu.Lock()
