Answers are taken by their ids alone; attempts of one request never share a connection

Cause found in reading: an answer without an id counted as the one that is due, on a connection on which a surplus one may come; a late second word that a request has not run could be taken for the answer to its next attempt on that connection, which runs: the request would be sent a third time. The answer to a release or a report could be a request's surplus one, and leave its own for the next request. An order to a worker went over a connection with reports before it. Change: an answer without an id counts on a fresh connection alone, which then carries nothing more; a request never uses a connection on which an answer to it came; answers with an id to calls without one end the connection; orders have connections of their own. Tests: drawn runs of workers that misbehave in twelve ways (second answers up to 90 ms late, without ids, for another, resets and closes at every stage) against harmless and risky requests; the second attempt after a double refusal; both broken builds are found. TestAnswerBeforeTheBodyIsReadIsPassedOnWhole has a worker that names the request and one that does not.

--- a/internal/control/member/workers.go
+++ b/internal/control/member/workers.go
@@ -27,18 +27,25 @@
 
 // workerClient makes a control member's calls to workers.
 type workerClient struct {
-	http *http.Client
+	reports *http.Client
+	orders  *http.Client // each on a connection of its own: no late answer to another call can be taken for theirs
 }
 
 func newWorkerClient(over network.Network) *workerClient {
-	return &workerClient{http: &http.Client{Transport: &http.Transport{
+	return &workerClient{reports: workerCalls(over, true), orders: workerCalls(over, false)}
+}
+
+// workerCalls makes a client whose connections are kept for a while, or not at all.
+func workerCalls(over network.Network, keep bool) *http.Client {
+	return &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return over.Dial(ctx, address, network.Terms{})
 		},
 		DisableCompression:  true,
+		DisableKeepAlives:   !keep,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     workerIdle,
-	}}}
+	}}
 }
 
 // report asks a worker for its report. One that does not answer counts as idle.
@@ -46,7 +53,7 @@
 	report := phases.Worker{ID: worker.ID, Zone: worker.Zone, Phase: worker.Phase, Capacity: worker.Capacity}
 	ctx, cancel := context.WithTimeout(ctx, reportTime)
 	defer cancel()
-	body, err := c.call(ctx, http.MethodGet, worker.Address, worker.ID, "/v1/report", nil)
+	body, err := call(ctx, c.reports, http.MethodGet, worker.Address, worker.ID, "/v1/report", nil)
 	if err != nil {
 		return report
 	}
@@ -62,12 +69,12 @@
 func (c *workerClient) order(ctx context.Context, address string, order phases.Order, owner string, fence uint64) error {
 	body := `{"order_type":"phase","phase":` + strconv.Quote(order.Phase) + `,"owner":` + strconv.Quote(owner) +
 		`,"fence_number":` + strconv.FormatUint(fence, 10) + `}`
-	_, err := c.call(ctx, http.MethodPost, address, order.Worker, "/v1/order", []byte(body))
+	_, err := call(ctx, c.orders, http.MethodPost, address, order.Worker, "/v1/order", []byte(body))
 	return err
 }
 
 // call makes one call to a worker and reads its answer.
-func (c *workerClient) call(ctx context.Context, method, address, worker, path string, body []byte) ([]byte, error) {
+func call(ctx context.Context, client *http.Client, method, address, worker, path string, body []byte) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -76,7 +83,7 @@
 	if body != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
-	answer, err := c.http.Do(request)
+	answer, err := client.Do(request)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/internal/proxy/calls/calls.go
+++ b/internal/proxy/calls/calls.go
@@ -33,7 +33,14 @@
 
 // Calls makes calls over one pool of connections. Safe for concurrent use.
 type Calls struct {
-	pool *upstream.Pool
+	Faults Faults
+	pool   *upstream.Pool
+}
+
+// Faults are deliberate violations, for the tests of the tests. All are off outside tests.
+type Faults struct {
+	AnyAnswer      bool // whatever comes on a connection is taken for the answer that is due
+	SameConnection bool // attempts of one request may follow each other on one connection
 }
 
 // New makes calls over the pool's connections.
@@ -80,6 +87,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if answer.Header.Get(headerRequestID) != "" { // a surplus one to a request: calls of this kind have no id
+		answer.Close()
+		return nil, &core.AttemptError{Stage: core.Written, Verdict: core.Mishap, Err: errForeign}
+	}
 	if _, err := answer.Small(); err != nil {
 		return nil, err
 	}
--- a/internal/proxy/calls/job.go
+++ b/internal/proxy/calls/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +36,7 @@
 	paid        bool     // the allowance has one more arrival for this request that has not come about yet
 	lost        bool     // a prompt's memory was once taken for lost and the prompt read anew
 	failure     *Failure // a worker's answer that is no success; the last one
+	connections []uint64 // on which an answer has come
 	broke       []string // names of the workers at which the request's stream broke
 	avoided     int      // times that one of them was chosen again
 }
@@ -213,7 +215,25 @@
 		j.paid = false
 		return j.request.encode(deadlineOf(ctx, j.request), own...), nil
 	}
-	return j.calls.pool.DoAtWrite(ctx, worker.Addr, j.request.Method, written)
+	answer, err := j.calls.pool.DoAtWrite(ctx, worker.Addr, j.request.Method, j.used, written)
+	if err == nil {
+		j.use(answer.Connection())
+	}
+	return answer, err
+}
+
+// used tells whether an answer to this request has come on a connection: a surplus one may still come there, and nothing
+// tells it from the answer to another attempt.
+func (j *Job) used(connection uint64) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Contains(j.connections, connection) && !j.calls.Faults.SameConnection
+}
+
+func (j *Job) use(connection uint64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.connections = append(j.connections, connection)
 }
 
 // answered takes the answer to a request that was sent to run.
@@ -318,9 +338,15 @@
 	return ask()
 }
 
-// own checks that an answer belongs to this request: a surplus one may stand in its place.
+// own checks that an answer belongs to this request: a surplus one may stand in its place. One without an id is taken for
+// its own only where no other can have come, and its connection carries nothing more.
 func (j *Job) own(answer *upstream.Answer) error {
-	if id := answer.Header.Get(headerRequestID); id == "" || id == j.request.ID {
+	id := answer.Header.Get(headerRequestID)
+	if id == j.request.ID && id != "" || j.calls.Faults.AnyAnswer {
+		return nil
+	}
+	if id == "" && answer.Fresh() {
+		answer.Last()
 		return nil
 	}
 	answer.Close()
--- a/internal/proxy/calls/rest.go
+++ b/internal/proxy/calls/rest.go
@@ -37,6 +37,7 @@
 		maybe:       j.maybe,
 		paid:        j.paid,
 		lost:        j.lost,
+		connections: j.connections,
 		broke:       append(slices.Clone(j.broke), broke),
 	}, true
 }
--- a/internal/proxy/front/answers_test.go
+++ b/internal/proxy/front/answers_test.go
@@ -128,6 +128,7 @@
 }
 
 func TestAnswerBeforeTheBodyIsReadIsPassedOnWhole(t *testing.T) {
+	named := strings.Replace(served, "\r\n", "\r\nX-Request-Id: 1\r\n", 1)
 	const closing = "HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nContent-Type: text/plain\r\nConnection: close\r\nContent-Length: 6\r\n\r\nserved"
 	for name, given := range map[string]struct {
 		answer      reply
@@ -135,7 +136,8 @@
 	}{
 		"and the worker ends the connection": {early(served, false), []int{1, 2}},
 		"and the worker announces its end":   {early(closing, true), []int{1, 2}},
-		"and the worker reads it later":      {early(served, true), []int{1, 1}},
+		"and the worker reads it later":      {early(named, true), []int{1, 1}},
+		"and does not name the request":      {early(served, true), []int{1, 2}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			workers := plainWorkers(1, given.answer)
--- a/internal/proxy/front/scene_test.go
+++ b/internal/proxy/front/scene_test.go
@@ -149,6 +149,7 @@
 	client *memnet.Process
 	front  *front.Front
 	extra  int // further arrivals that the proxy may cause, besides its share of the requests
+	faults calls.Faults
 }
 
 // play tells a story of a proxy with workers, whose services follow from their phases.
@@ -159,10 +160,16 @@
 
 // playWithin is play with a bound on further arrivals of its own.
 func playWithin(t *testing.T, extra int, workers []*worker, story func(c *qt.C, s *scene)) {
+	t.Helper()
+	playBroken(t, calls.Faults{}, extra, workers, story)
+}
+
+// playBroken is playWithin with a proxy that is broken on purpose.
+func playBroken(t *testing.T, faults calls.Faults, extra int, workers []*worker, story func(c *qt.C, s *scene)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		s := &scene{fabric: memnet.New(linkDelay), extra: extra}
+		s := &scene{fabric: memnet.New(linkDelay), extra: extra, faults: faults}
 		s.client = s.fabric.Machine(clientIP).Process()
 		own := s.fabric.Machine(proxyIP).Process()
 		ends := []func(){s.client.Kill, own.Kill}
@@ -204,6 +211,7 @@
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	toWorkers := calls.New(upstream.NewPoolOn(run.WorkerTerms(own), upstream.NewBudget(1000), dialLimit, idleLimit))
+	toWorkers.Faults = s.faults
 	around := lane.Surroundings{
 		Calls: toWorkers, Zone: "zone", Zones: []string{"zone"}, Log: quiet,
 		Budget: budget.Terms{Window: 10 * time.Second, Ratio: 0.2, Extra: s.extra},
@@ -253,11 +261,16 @@
 
 // ask sends a request as it is given, lines of a head and a body, and reads the answer.
 func (s *scene) ask(c *qt.C, path, body string, lines ...string) answer {
+	return s.askAs(c, "1", path, body, lines...)
+}
+
+// askAs is ask under an id of the request's own.
+func (s *scene) askAs(c *qt.C, id, path, body string, lines ...string) answer {
 	connection, err := s.client.Dial(c.Context(), frontAt, network.Terms{Limit: time.Second})
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = connection.Close() }() // the answer was read
 	c.Assert(connection.SetDeadline(time.Now().Add(patience)), qt.IsNil)
-	head := "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: 1\r\nX-Token-Count: 100,20\r\nX-Prompt-Start: aa:60,bb:40\r\n"
+	head := "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id + "\r\nX-Token-Count: 100,20\r\nX-Prompt-Start: aa:60,bb:40\r\n"
 	lines = append(lines, fmt.Sprintf("Content-Length: %d", len(body)))
 	began := time.Now()
 	go func() { _, _ = io.WriteString(connection, head+strings.Join(lines, "\r\n")+"\r\n\r\n"+body) }()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -41,7 +41,7 @@
 // once a connection is there and before anything is written; calls without it may use the spare sockets. Errors are *core.AttemptError; ctx's cause is
 // among what they wrap when that ended the exchange.
 func (p *Pool) Do(ctx context.Context, addr, method string, request []byte, clear func() error) (*Answer, error) {
-	return p.exchange(ctx, addr, method, clear != nil, func() ([]byte, error) {
+	return p.exchange(ctx, addr, method, clear != nil, nil, func() ([]byte, error) {
 		if clear == nil {
 			return request, nil
 		}
@@ -50,19 +50,20 @@
 }
 
 // DoAtWrite is Do for an attempt whose request tells what is true as it is written: its bytes are asked for once a
-// connection is there. An error instead of them ends the exchange before anything is written.
-func (p *Pool) DoAtWrite(ctx context.Context, addr, method string, request func() ([]byte, error)) (*Answer, error) {
-	return p.exchange(ctx, addr, method, true, request)
+// connection is there. An error instead of them ends the exchange before anything is written. Connections that avoid, if
+// not nil, tells of by their numbers are not used: a late surplus answer to an exchange of the same request may come there.
+func (p *Pool) DoAtWrite(ctx context.Context, addr, method string, avoid func(connection uint64) bool, request func() ([]byte, error)) (*Answer, error) {
+	return p.exchange(ctx, addr, method, true, avoid, request)
 }
 
-func (p *Pool) exchange(ctx context.Context, addr, method string, attempt bool, bytes func() ([]byte, error)) (*Answer, error) {
+func (p *Pool) exchange(ctx context.Context, addr, method string, attempt bool, avoid func(uint64) bool, bytes func() ([]byte, error)) (*Answer, error) {
 	fail := func(stage core.Stage, err error) (*Answer, error) {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
 		return nil, &core.AttemptError{Stage: stage, Verdict: verdict(err), Err: err}
 	}
-	c, err := p.get(ctx, addr, attempt)
+	c, err := p.get(ctx, addr, attempt, avoid)
 	if err != nil {
 		return fail(core.NotConnected, err)
 	}
@@ -98,6 +99,15 @@
 	return &Answer{Response: resp, pool: p, conn: c, stop: stop, ctx: ctx}, nil
 }
 
+// Connection is the number of the answer's connection; no two connections of a pool have the same.
+func (a *Answer) Connection() uint64 { return a.conn.number }
+
+// Fresh tells whether the answer's connection had carried nothing before: no other answer can have come there.
+func (a *Answer) Fresh() bool { return a.conn.since.IsZero() }
+
+// Last has the answer's connection carry nothing more; call it before the answer is read to its end.
+func (a *Answer) Last() { a.Response.Close = true }
+
 // announced is the part of the time that a Keep-Alive header announces in which a connection is still used; 0 where
 // there is none.
 func announced(keepAlive string) time.Duration {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,6 +25,7 @@
 	terms       Terms
 	stale       stale
 	shares      *shares
+	dialed      atomic.Uint64
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, the one used last at the end
@@ -46,11 +48,12 @@
 // conn is one connection; it carries one exchange at a time.
 type conn struct {
 	net.Conn
-	addr  string
-	br    *bufio.Reader
-	since time.Time     // idle
-	limit time.Duration // of idleness, as the worker announced it; 0: it did not
-	back  func()
+	number uint64
+	addr   string
+	br     *bufio.Reader
+	since  time.Time     // idle
+	limit  time.Duration // of idleness, as the worker announced it; 0: it did not
+	back   func()
 }
 
 // idleShare of the time after which the far side may close an idle connection is how long one is kept: what is
@@ -78,12 +81,12 @@
 const settleTime = 15 * time.Millisecond
 
 // get takes an idle connection that is fit for use, or dials. Where the address's share is in use it waits for a short time.
-func (p *Pool) get(ctx context.Context, addr string, attempt bool) (*conn, error) {
-	if c := p.reuse(addr); c != nil {
+func (p *Pool) get(ctx context.Context, addr string, attempt bool, avoid func(uint64) bool) (*conn, error) {
+	if c := p.reuse(addr, avoid); c != nil {
 		return c, nil
 	}
 	if !p.shares.enter(addr, attempt) {
-		if c, err := p.await(ctx, addr, attempt); c != nil || err != nil {
+		if c, err := p.await(ctx, addr, attempt, avoid); c != nil || err != nil {
 			return c, err
 		}
 	}
@@ -95,9 +98,9 @@
 }
 
 // reuse takes an idle connection that is fit for use; nil: there is none. Those that are not are closed.
-func (p *Pool) reuse(addr string) *conn {
+func (p *Pool) reuse(addr string, avoid func(uint64) bool) *conn {
 	for {
-		c := p.take(addr)
+		c := p.take(addr, avoid)
 		if c == nil {
 			return nil
 		}
@@ -124,7 +127,7 @@
 		p.budget.give()
 		p.shares.leave(addr)
 	}
-	return &conn{Conn: raw, addr: addr, br: bufio.NewReaderSize(raw, 8<<10), back: sync.OnceFunc(back)}, nil
+	return &conn{Conn: raw, number: p.dialed.Add(1), addr: addr, br: bufio.NewReaderSize(raw, 8<<10), back: sync.OnceFunc(back)}, nil
 }
 
 // limitOf is how long a connection may be idle and still be used.
@@ -136,12 +139,12 @@
 }
 
 // take takes the connection that was used last among those that have rested.
-func (p *Pool) take(addr string) *conn {
+func (p *Pool) take(addr string, avoid func(uint64) bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
 	for i := len(list) - 1; i >= 0; i-- {
-		if c := list[i]; time.Since(c.since) >= p.settle {
+		if c := list[i]; time.Since(c.since) >= p.settle && (avoid == nil || !avoid(c.number)) {
 			p.set(addr, slices.Delete(list, i, i+1))
 			return c
 		}
--- a/internal/upstream/shares.go
+++ b/internal/upstream/shares.go
@@ -128,12 +128,12 @@
 
 // await waits, for a short time, for a connection in use to become idle, which is returned, or to end: then a place for a
 // new one has been taken, and no connection is returned.
-func (p *Pool) await(ctx context.Context, addr string, attempt bool) (*conn, error) {
+func (p *Pool) await(ctx context.Context, addr string, attempt bool, avoid func(uint64) bool) (*conn, error) {
 	limit := time.NewTimer(shareWait)
 	defer limit.Stop()
 	for {
 		freed := p.shares.watch(addr) // before the looks that follow: what comes after them is not missed
-		if c := p.reuse(addr); c != nil {
+		if c := p.reuse(addr, avoid); c != nil {
 			return c, nil
 		}
 		if p.shares.enter(addr, attempt) {
@@ -158,7 +158,9 @@
 	defer p.mu.Unlock()
 	soonest := shareWait
 	for _, c := range p.idle[addr] {
-		soonest = min(soonest, p.settle-time.Since(c.since))
+		if left := p.settle - time.Since(c.since); left > 0 { // one that has rested is not for this exchange
+			soonest = min(soonest, left)
+		}
 	}
 	return soonest
 }
