--- a/internal/agent/confirm.go
+++ b/internal/agent/confirm.go
@@ -12,8 +12,10 @@
 
 const (
 	// searchInterval is how often control members are looked for while none that hears of a leader has confirmed the
-	// configuration, or none answers any more.
+	// configuration, or none answers any more; firstInterval is the same right after the start, when the members may be
+	// starting, too.
 	searchInterval = 250 * time.Millisecond
+	firstInterval  = 50 * time.Millisecond
 	// contactLimit is how long ago a control member that hears of a leader may have answered.
 	contactLimit = 2500 * time.Millisecond
 	// confirmLimit bounds one question for the newest configuration.
@@ -105,8 +107,15 @@
 		a.confirmation.give()
 		return
 	}
-	time.AfterFunc(unconfirmedWait, a.confirmation.give)
+	first, cancel := context.WithTimeout(ctx, unconfirmedWait)
+	defer cancel()
 	a.search(ctx)
+	periodic.Run(first, firstInterval, func() {
+		if !a.confirmation.isConfirmed() {
+			a.search(ctx)
+		}
+	})
+	a.confirmation.give()
 	periodic.Run(ctx, searchInterval, func() {
 		if !a.confirmation.isConfirmed() || !a.members.InContact(contactLimit) {
 			a.search(ctx)
--- a/internal/control/partition/host.go
+++ b/internal/control/partition/host.go
@@ -165,6 +165,7 @@
 		peers:   map[string]*sender{},
 	}
 	h.writer.failed = h.diskFailed
+	h.observe()
 	return h, nil
 }
 
@@ -307,21 +308,28 @@
 
 // flush carries out what the nodes want done.
 func (h *Host) flush() {
-	led, voter, leading := len(h.groups) > 0, len(h.groups) > 0, false
 	for _, g := range h.groups {
 		h.carryOut(g, g.node.TakeOutput())
 		h.noteLead(g)
+	}
+	h.observe()
+	h.senders.flush()
+}
+
+// observe notes for others how this member stands to its partitions.
+func (h *Host) observe() {
+	led, voter, leading := len(h.groups) > 0, len(h.groups) > 0, false
+	for _, g := range h.groups {
 		_, known := g.node.Leader()
 		led = led && known
 		voter = voter && g.node.IsVoter()
 		leading = leading || g.node.IsLeader()
 	}
-	h.leading.Store(leading)
-	h.voter.Store(voter)
 	if led {
 		h.ledAt.Store(int64(h.now()))
 	}
-	h.senders.flush()
+	h.voter.Store(voter)
+	h.leading.Store(leading)
 }
 
 func (h *Host) carryOut(g *group, output consensus.Output) {
--- /dev/null
+++ b/internal/control/steering/steering_test.go
@@ -0,0 +1,132 @@
+package steering_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"sumacloft/internal/control/configstate"
+	"sumacloft/internal/control/registry"
+	"sumacloft/internal/control/steering"
+)
+
+// stub stands for a control member: it notes what it was asked and answers what it was told.
+type stub struct {
+	beat     registry.Beat
+	left     string
+	order    configstate.Order
+	beatTo   string
+	outcome  configstate.Outcome
+	document []byte
+	err      error
+}
+
+func (s *stub) Beat(_ context.Context, beat registry.Beat) (string, error) {
+	s.beat = beat
+	return s.beatTo, s.err
+}
+
+func (s *stub) Leave(_ context.Context, id string) error {
+	s.left = id
+	return s.err
+}
+
+func (s *stub) Submit(_ context.Context, order configstate.Order) (configstate.Outcome, error) {
+	s.order = order
+	return s.outcome, s.err
+}
+
+func (s *stub) Read(context.Context) ([]byte, error) { return s.document, s.err }
+
+// call makes one call and gives its answer.
+func call(s *stub, method, path, builtOn, body string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	if builtOn != "" {
+		request.Header.Set("X-Built-On", builtOn)
+	}
+	answer := httptest.NewRecorder()
+	steering.Handler(s, s).ServeHTTP(answer, request)
+	return answer
+}
+
+const (
+	replacePath = "/v1/Settings.Replace"
+	changePath  = "/v1/Settings.Change"
+	readPath    = "/v1/Settings.Read"
+)
+
+func TestAnswersSayWhatBecameOfAnOrder(t *testing.T) {
+	cause := errors.New("why")
+	for name, given := range map[string]struct {
+		stub   stub
+		status int
+		body   string
+	}{
+		"taken":            {stub{outcome: configstate.Outcome{Status: configstate.Taken, Version: 7}}, http.StatusOK, `{"version":7}`},
+		"taken before":     {stub{outcome: configstate.Outcome{Status: configstate.AlreadyTaken, Version: 7}}, http.StatusOK, `{"version":7}`},
+		"on another":       {stub{outcome: configstate.Outcome{Status: configstate.OtherVersion, Err: cause}}, http.StatusPreconditionFailed, `{"error":"why"}`},
+		"invalid":          {stub{outcome: configstate.Outcome{Status: configstate.Invalid, Err: cause}}, http.StatusBadRequest, `{"error":"why"}`},
+		"not remembered":   {stub{outcome: configstate.Outcome{Status: configstate.Unknown, Err: cause}}, http.StatusServiceUnavailable, `{"error":"why"}`},
+		"without a leader": {stub{err: cause}, http.StatusServiceUnavailable, `{"error":"why"}`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			for path, kind := range map[string]configstate.OrderKind{replacePath: configstate.Replace, changePath: configstate.Change} {
+				answer := call(&given.stub, http.MethodPost, path, "5", "{}")
+				c.Assert(answer.Code, qt.Equals, given.status)
+				c.Assert(answer.Body.String(), qt.Equals, given.body)
+				c.Assert(given.stub.order.Kind, qt.Equals, kind)
+				c.Assert(given.stub.order.BuiltOn, qt.Equals, uint64(5))
+				c.Assert(string(given.stub.order.Body), qt.Equals, "{}")
+			}
+		})
+	}
+}
+
+func TestOrdersThatCantBeOrdersAreRefusedHere(t *testing.T) {
+	c := qt.New(t)
+	s := &stub{}
+	// Given orders without a base, with one that is no number, and larger than the disks hold, then no member is asked.
+	c.Assert(call(s, http.MethodPost, replacePath, "", "{}").Code, qt.Equals, http.StatusBadRequest)
+	c.Assert(call(s, http.MethodPost, replacePath, "-1", "{}").Code, qt.Equals, http.StatusBadRequest)
+	c.Assert(call(s, http.MethodPost, replacePath, "1", strings.Repeat(" ", 8<<20+1)).Code, qt.Equals, http.StatusRequestEntityTooLarge)
+	c.Assert(s.order.Kind, qt.Equals, configstate.OrderKind(0))
+}
+
+func TestDocumentIsGivenWhole(t *testing.T) {
+	c := qt.New(t)
+	answer := call(&stub{document: []byte(`{"version":3}`)}, http.MethodGet, readPath, "", "")
+	c.Assert(answer.Code, qt.Equals, http.StatusOK)
+	c.Assert(answer.Body.String(), qt.Equals, `{"version":3}`)
+	c.Assert(call(&stub{}, http.MethodGet, readPath, "", "").Code, qt.Equals, http.StatusNotFound)
+	// A member that can't be sure of the newest says so.
+	c.Assert(call(&stub{err: errors.New("no leader")}, http.MethodGet, readPath, "", "").Code, qt.Equals, http.StatusServiceUnavailable)
+}
+
+func TestWorkersAreHeard(t *testing.T) {
+	c := qt.New(t)
+	const beat = `{"service":"s","address":"10.0.0.9:1","zone":"z","version":"v1","capacity":4,"state":"up","call_count":3}`
+	s := &stub{beatTo: "10.0.0.4:8080"}
+	answer := call(s, http.MethodPost, "/v1/Servers.Beat/i-1", "", beat)
+	c.Assert(answer.Code, qt.Equals, http.StatusOK)
+	c.Assert(answer.Body.String(), qt.Equals, `{"beat_to":"10.0.0.4:8080"}`)
+	c.Assert(s.beat.ID, qt.Equals, "i-1")
+	c.Assert(s.beat.CallCount, qt.Equals, uint64(3))
+	// One that needs no other address gets none, one that can't be read is refused.
+	s.beatTo = ""
+	c.Assert(call(s, http.MethodPost, "/v1/Servers.Beat/i-1", "", beat).Body.String(), qt.Equals, "{}")
+	c.Assert(call(s, http.MethodPost, "/v1/Servers.Beat/i-1", "", "{").Code, qt.Equals, http.StatusBadRequest)
+	c.Assert(call(s, http.MethodPost, "/v1/Servers.Beat/i-1", "", strings.Repeat(" ", 64<<10+1)).Code, qt.Equals, http.StatusBadRequest)
+	// The end of one is noted by its id.
+	c.Assert(call(s, http.MethodPost, "/v1/Servers.Leave/i-1", "", "{}").Code, qt.Equals, http.StatusOK)
+	c.Assert(s.left, qt.Equals, "i-1")
+	// A member that is cut off acknowledges neither.
+	s.err = errors.New("cut off")
+	c.Assert(call(s, http.MethodPost, "/v1/Servers.Beat/i-1", "", beat).Code, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(call(s, http.MethodPost, "/v1/Servers.Leave/i-1", "", "{}").Code, qt.Equals, http.StatusServiceUnavailable)
+}
