--- a/internal/control/partition/duties.go
+++ b/internal/control/partition/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"sumacloft/internal/control/consensus"
@@ -30,20 +31,32 @@
 		return nil
 	}
 	delete(h.joining, id)
-	last, before := h.leaving[id]
-	h.leaving[id] = h.now()
-	if !before || h.now()-last > h.leaveMemory() {
+	now := h.now()
+	word, before := h.leaving[id]
+	if !before || now-word.last > h.leaveMemory() {
+		h.leaving[id] = leaver{first: now, last: now}
 		return nil // its place is looked at first
 	}
+	h.leaving[id] = leaver{first: word.first, last: now}
 	for _, g := range h.groups {
 		status := g.node.Status()
-		if status.Role == consensus.RoleLeader && reconfigure.MayLeave(h.situation(g, status), id) {
+		if status.Role == consensus.RoleLeader && reconfigure.MayLeave(h.situationFor(g, status, id), id) {
 			mayLeave = append(mayLeave, g.number)
 		}
 	}
 	return mayLeave
 }
 
+// situationFor is the situation as it counts for a member that ends: those that said so after it stay for that long.
+func (h *Host) situationFor(g *group, status consensus.Status, id consensus.MemberID) reconfigure.Situation {
+	situation := h.situation(g, status)
+	own := h.leaving[id].first
+	situation.Leaving = slices.DeleteFunc(situation.Leaving, func(other consensus.MemberID) bool {
+		return other != id && h.leaving[other].first >= own
+	})
+	return situation
+}
+
 // duties asks to join where this member is in no partition, and has the partitions that it leads follow the machines. A
 // member that hears of no leader asks too: it may have been dropped while it was cut off, and would never hear of it. Its
 // disk is whole, so it comes back as who it is; leaders that count it already take no notice.
@@ -98,8 +111,8 @@
 		}
 		situation.Joining = append(situation.Joining, wish.member)
 	}
-	for id, at := range h.leaving {
-		if now-at > h.leaveMemory() {
+	for id, word := range h.leaving {
+		if now-word.last > h.leaveMemory() {
 			delete(h.leaving, id)
 			continue
 		}
--- a/internal/control/partition/host.go
+++ b/internal/control/partition/host.go
@@ -90,7 +90,7 @@
 	senders
 	groups  map[Group]*group
 	joining map[consensus.MemberID]joiner
-	leaving map[consensus.MemberID]time.Duration // since when
+	leaving map[consensus.MemberID]leaver
 	stopped bool
 	ledAt   atomic.Int64 // as time.Duration: all partitions had a leader
 	voter   atomic.Bool  // in all partitions
@@ -103,6 +103,9 @@
 	at     time.Duration
 }
 
+// leaver is when a member said that it ends, for the first and for the last time.
+type leaver struct{ first, last time.Duration }
+
 // group is this member's part in one partition.
 type group struct {
 	number   Group
@@ -141,7 +144,7 @@
 		ended:   make(chan struct{}),
 		groups:  map[Group]*group{},
 		joining: map[consensus.MemberID]joiner{},
-		leaving: map[consensus.MemberID]time.Duration{},
+		leaving: map[consensus.MemberID]leaver{},
 	}
 	h.ledAt.Store(int64(neverLed))
 	state, err := recovered(records)
--- a/internal/fleettest/repair_test.go
+++ b/internal/fleettest/repair_test.go
@@ -213,3 +213,30 @@
 	qt.New(t).Assert(endsWhileAnotherIsCutOff(t, member.Faults{}), qt.Equals, "")
 	qt.New(t).Assert(endsWhileAnotherIsCutOff(t, member.Faults{LeaveAtOnce: true}), qt.Not(qt.Equals), "")
 }
+
+func TestOfTwoMembersThatEndOneIsLetGo(t *testing.T) {
+	Run(t, Plan{Edges: -1}, func(c *qt.C, f *Fleet) {
+		// Given three members, when two are told to end, one a moment after the other.
+		f.Operator.Acknowledge(0, Document(1))
+		time.Sleep(catchUp)
+		leader := f.Leader(settingsPartition)
+		others := f.Others(leader)
+		ended := make(chan int, len(others))
+		for i, one := range others {
+			go func() {
+				one.Stop()
+				ended <- i
+			}()
+			time.Sleep(300 * time.Millisecond)
+		}
+		// Then the first ends, and orders go on with the second,
+		c.Assert(<-ended, qt.Equals, 0)
+		_, wrong := f.orderWithin(1, ackWithin)
+		c.Assert(wrong, qt.Equals, "")
+		// which ends within its grace, too, or at once where the first is back.
+		others[0].Start(false)
+		began := f.Now()
+		c.Assert(<-ended, qt.Equals, 1)
+		c.Assert(f.Now()-began <= catchUp, qt.IsTrue, qt.Commentf("%v", f.Now()-began))
+	})
+}
