--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -139,6 +139,26 @@
 	f.running.Go(run)
 }
 
+// PowerOff takes the power from all control members and edges.
+func (f *Fleet) PowerOff() {
+	for _, control := range f.Controls {
+		control.PowerOff()
+	}
+	for _, edge := range f.Edges {
+		edge.PowerOff()
+	}
+}
+
+// PowerOn gives it back, and starts their processes.
+func (f *Fleet) PowerOn() {
+	for _, control := range f.Controls {
+		control.PowerOn()
+	}
+	for _, edge := range f.Edges {
+		edge.PowerOn()
+	}
+}
+
 // Now is how long the fleet has run.
 func (f *Fleet) Now() time.Duration { return time.Since(f.began) }
 
--- a/internal/fleettest/history_test.go
+++ b/internal/fleettest/history_test.go
@@ -116,14 +116,8 @@
 		return func() { one.Start(false) }
 	}},
 	{name: "all without power", ends: true, do: func(f *Fleet, _ *Control) func() {
-		for _, control := range f.Controls {
-			control.PowerOff()
-		}
-		return func() {
-			for _, control := range f.Controls {
-				control.PowerOn()
-			}
-		}
+		f.PowerOff()
+		return f.PowerOn
 	}},
 	{name: "disk lost", ends: true, wipes: true, do: func(f *Fleet, one *Control) func() {
 		one.Kill()
--- a/internal/fleettest/power_test.go
+++ b/internal/fleettest/power_test.go
@@ -16,19 +16,9 @@
 			f.NewWorker(Plain, "", Behaviour{})
 			f.Serve()
 			f.Operator.Acknowledge(1, Document(2, "new"))
-			for _, control := range f.Controls {
-				control.PowerOff()
-			}
-			for _, edge := range f.Edges {
-				edge.PowerOff()
-			}
+			f.PowerOff()
 			time.Sleep(time.Second)
-			for _, control := range f.Controls {
-				control.PowerOn()
-			}
-			for _, edge := range f.Edges {
-				edge.PowerOn()
-			}
+			f.PowerOn()
 			back := f.Now()
 			f.Until(recovery, "an answer", func() bool { return serves(f, f.Edges[0], HarmlessPath+"x") })
 			answered := f.Now() - back
--- a/internal/fleettest/settings_test.go
+++ b/internal/fleettest/settings_test.go
@@ -116,19 +116,9 @@
 			return f.Others(leader)
 		},
 		"the loss of all power": func(f *Fleet) []*Control {
-			for _, control := range f.Controls {
-				control.PowerOff()
-			}
-			for _, edge := range f.Edges {
-				edge.PowerOff()
-			}
+			f.PowerOff()
 			time.Sleep(time.Second)
-			for _, control := range f.Controls {
-				control.PowerOn()
-			}
-			for _, edge := range f.Edges {
-				edge.PowerOn()
-			}
+			f.PowerOn()
 			return f.Controls
 		},
 	}
