Fleet in memory: orders go to members in touch while another is cut off

Ruled out: the members themselves; whoever is in touch acknowledged within 20 ms in every trace. Change: while a member is cut off orders ask the two that are in touch in turn, within the same second.

--- a/internal/fleettest/repair_test.go
+++ b/internal/fleettest/repair_test.go
@@ -123,11 +123,16 @@
 	return said
 }
 
-// orderWithin has an order acknowledged within a time.
+// orderWithin has an order acknowledged within a time, at any member.
 func (f *Fleet) orderWithin(version uint64, limit time.Duration) (next uint64, wrong string) {
+	return f.orderAt(f.anyControl, version, limit)
+}
+
+// orderAt has an order acknowledged within a time, at the members that are given one after the other.
+func (f *Fleet) orderAt(next func() *Control, version uint64, limit time.Duration) (after uint64, wrong string) {
 	order := Document(version + 1)
 	for end := f.Now() + limit; f.Now() < end; {
-		status := f.Operator.Replace(f.anyControl(), version, order)
+		status := f.Operator.Replace(next(), version, order)
 		switch {
 		case status == http.StatusOK:
 			return version + 1, ""
@@ -139,6 +144,15 @@
 	return version, fmt.Sprintf("at %v: order %d was not acknowledged within %v", f.Now(), version+1, limit)
 }
 
+// turns gives one member after the other.
+func turns(members ...*Control) func() *Control {
+	asked := 0
+	return func() *Control {
+		asked++
+		return members[asked%len(members)]
+	}
+}
+
 // place is where a member stands among the members.
 func (f *Fleet) place(control *Control) int { return slices.Index(f.Controls, control) }
 
@@ -181,7 +195,8 @@
 		leader := f.Leader(settingsPartition)
 		behind, ending := f.Others(leader)[0], f.Others(leader)[1]
 		f.Cut(behind)
-		version, wrongs := f.orderWithin(1, ackWithin)
+		inTouch := turns(leader, ending)
+		version, wrongs := f.orderAt(inTouch, 1, ackWithin)
 		// When another is told to end.
 		began := f.Now()
 		ended := make(chan time.Duration, 1)
@@ -189,10 +204,10 @@
 			ending.Stop()
 			ended <- f.Now()
 		}()
-		// Then it goes on as long as the others need it,
+		// Then it goes on as long as the others need it: the two that are in touch take orders,
 		for f.Now() < began+3*time.Second && wrongs == "" {
 			time.Sleep(300 * time.Millisecond)
-			version, wrongs = f.orderWithin(version, time.Second)
+			version, wrongs = f.orderAt(inTouch, version, time.Second)
 		}
 		// and ends well within its grace once the other has all that it lacked.
 		f.Heal(behind)
