--- a/cmd/fleetd/main.go
+++ b/cmd/fleetd/main.go
@@ -16,6 +16,7 @@
 	"sumacloft/internal/control/member"
 	"sumacloft/internal/mesh/network"
 	"sumacloft/internal/proxy/run"
+	"sumacloft/internal/trial"
 )
 
 // command is the command line.
@@ -26,6 +27,8 @@
 	Check   checkCommand   `cmd:"" help:"Check a file before it is put in place."`
 	Status  statusCommand  `cmd:"" help:"Show the fleet as a control member or an agent knows it."`
 	Log     logCommand     `cmd:"" help:"Show the newest log lines of a process, which it holds in memory."`
+	Trial   bool           `help:"Take part in a trial: mechanisms may be switched off. Never in service."`
+	Without []string       `help:"Mechanisms to switch off in a trial, by their names in internal/trial."`
 	Verbose bool           `help:"Write every log line at once, not only when something goes wrong." env:"SUMACLOFT_VERBOSE"`
 }
 
@@ -63,7 +66,14 @@
 	if err != nil {
 		return nil, err
 	}
+	settings.Trial, err = trial.Parse(line.Without, line.Trial)
+	if err != nil {
+		return nil, err
+	}
 	log := newLines(os.Stderr, line.Verbose)
+	if settings.Trial.Any() {
+		log.log.Warn().Stringer("without", settings.Trial).Msg("this is a trial: mechanisms are switched off")
+	}
 	log.watchSignal(os.Stderr)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	return &process{settings: settings, lines: log, ctx: ctx, stop: stop}, nil
--- a/internal/boot/settings.go
+++ b/internal/boot/settings.go
@@ -8,6 +8,8 @@
 import (
 	"slices"
 	"time"
+
+	"sumacloft/internal/trial"
 )
 
 // PathVariable is the environment variable that holds the path of the settings file.
@@ -42,6 +44,8 @@
 	Promises          []string // the parts of the rules that are in force
 	Bear              Losses   // what may be lost at once while every rule is kept
 	Rules             Rules    // the figures of the rules
+
+	Trial trial.Off // mechanisms that the command line switches off; no field of the file
 }
 
 // ListenOn holds the addresses (host:port) that a process listens on for callers from outside; "" where it serves none.
--- a/internal/control/member/duty.go
+++ b/internal/control/member/duty.go
@@ -12,6 +12,7 @@
 	"sumacloft/internal/control/registry"
 	"sumacloft/internal/mesh/topic"
 	"sumacloft/internal/periodic"
+	"sumacloft/internal/trial"
 )
 
 const (
@@ -143,6 +144,9 @@
 func (d *duty) balance(ctx context.Context, group partition.Group, service string, workers []registry.Worker) {
 	balance := d.balanceOf(service)
 	orders := balance.Observe(d.member.now(), d.reports(ctx, service, workers))
+	if d.leftOut(balance.View().Reason) {
+		orders = nil
+	}
 	d.note(service, balance.View(), len(orders))
 	addresses := map[string]string{}
 	for _, worker := range workers {
@@ -176,12 +180,21 @@
 func (d *duty) balanceOf(service string) *phases.Balance {
 	balance := d.balances[service]
 	if balance == nil {
-		balance = &phases.Balance{}
+		balance = &phases.Balance{WithoutLinks: d.member.settings.Trial.Has(trial.LinkWork)}
 		d.balances[service] = balance
 	}
 	return balance
 }
 
+// leftOut tells whether a trial leaves out the orders that are given for a reason.
+func (d *duty) leftOut(reason phases.Reason) bool {
+	off := d.member.settings.Trial
+	if reason == phases.ReasonCold {
+		return off.Has(trial.ColdShare)
+	}
+	return off.Has(trial.Balance)
+}
+
 // announce writes an order down before it is sent, and has the proxies send its worker nothing new.
 func (d *duty) announce(ctx context.Context, group partition.Group, service string, order phases.Order) {
 	lease, held := d.member.host.Lease(ctx, group)
--- a/internal/control/phases/loads.go
+++ b/internal/control/phases/loads.go
@@ -10,6 +10,8 @@
 	readUse = 0.6
 	// writeUse of the places and of the memory of the writers is: the rest is for bursts and for the loss of another.
 	writeUse = 0.4
+	// linkUse of the writers are meant to have a move waiting: a link carries one at a time, as a reader reads one prompt.
+	linkUse = 0.6
 	// meanTime is over which loads are averaged.
 	meanTime = 3 * time.Second
 	// readQueueFull is the number of waiting prompts at each reader from which the queue's part is at its bound.
@@ -26,6 +28,8 @@
 	read, write      float64 // workers in use, mean
 	readQueue        float64 // queued requests, mean
 	writeQueue       float64 // queued requests in writers' worth of places, mean
+	links            float64 // writers with free places where requests wait all the same, so for their links; mean
+	withoutLinks     bool
 	at               time.Duration
 	begun            bool
 }
@@ -35,6 +39,7 @@
 	readers, writers      float64
 	read, write           float64
 	readQueue, writeQueue float64
+	links                 float64
 }
 
 // learn takes the reports into the means. Workers that did not answer count neither as work nor as room.
@@ -55,6 +60,7 @@
 	l.write += weight * (seen.write - l.write)
 	l.readQueue += weight * (seen.readQueue - l.readQueue)
 	l.writeQueue += weight * (seen.writeQueue - l.writeQueue)
+	l.links += weight * (seen.links - l.links)
 	l.at = now
 }
 
@@ -71,6 +77,9 @@
 	s.writers++
 	s.write += max(min(float64(worker.Working)/places, 1), worker.Memory)
 	s.writeQueue += float64(worker.Queued) / places
+	if worker.Queued > 0 && float64(worker.Working) < places {
+		s.links++
+	}
 }
 
 // any tells whether there is any work.
@@ -88,9 +97,19 @@
 	return l.write + queueBound*l.writers*min(l.writeQueue/max(l.writers, 1), 1)
 }
 
+// needs are how many workers each phase would have in use as meant.
+func (l *loads) needs() (read, write float64) {
+	read, write = l.readWork()/readUse, l.writeWork()/writeUse
+	if !l.withoutLinks {
+		write = max(write, l.links/linkUse)
+	}
+	return read, write
+}
+
 // pressures are the phases' uses against what is meant.
 func (l *loads) pressures() (read, write float64) {
-	return l.readWork() / (readUse * max(l.readers, 1)), l.writeWork() / (writeUse * max(l.writers, 1))
+	read, write = l.needs()
+	return read / max(l.readers, 1), write / max(l.writers, 1)
 }
 
 // uneven tells whether one phase lacks room while the other has more by over the band, and which.
@@ -110,7 +129,7 @@
 // share is how many of the workers write where both phases have the same pressure, rounded towards the writers that there
 // are: no change makes the other phase the one that lacks room.
 func (l *loads) share(writers, workers int) int {
-	read, write := l.readWork()/readUse, l.writeWork()/writeUse
+	read, write := l.needs()
 	even := float64(workers) * write / max(read+write, 1e-9)
 	if even > float64(writers) {
 		return max(int(math.Floor(even)), writers)
--- a/internal/control/phases/phases.go
+++ b/internal/control/phases/phases.go
@@ -31,6 +31,8 @@
 
 // Balance follows one service. Its zero value is ready.
 type Balance struct {
+	WithoutLinks bool // moves that wait for links do not count: for trials
+
 	loads      loads
 	target     int           // writers that are wanted
 	uneven     time.Duration // since when the phases have been uneven
@@ -119,6 +121,7 @@
 	if len(workers) < 2 {
 		return nil
 	}
+	b.loads.withoutLinks = b.WithoutLinks
 	b.loads.learn(now, workers)
 	if b.traffic == 0 && b.loads.any() {
 		b.traffic = now
--- a/internal/proxy/front/front.go
+++ b/internal/proxy/front/front.go
@@ -35,8 +35,11 @@
 
 // Front serves clients. Its zero value knows no configuration and refuses.
 type Front struct {
-	Calls   *calls.Calls
-	Bounds  *bounds.Keeper // of clients' connections, told the limits in force; may be nil
+	Calls  *calls.Calls
+	Bounds *bounds.Keeper // of clients' connections, told the limits in force; may be nil
+
+	NoPickUp bool // streams that break stay broken: for trials
+
 	routing atomic.Pointer[Routing]
 	leaving atomic.Bool
 	open    atomic.Int64
@@ -90,7 +93,7 @@
 func (f *Front) serve(w http.ResponseWriter, request *http.Request, route *opconf.Route, service *lane.Lane, asked *calls.Request, taken time.Time) {
 	job := calls.NewJob(f.Calls, asked, service)
 	out := &client{front: f, writer: w, control: http.NewResponseController(w), job: job, request: asked}
-	if route.Kind == opconf.Flowing && route.PickUp {
+	if route.Kind == opconf.Flowing && route.PickUp && !f.NoPickUp {
 		out.joint = &joint{}
 	}
 	ctx, cancel := context.WithDeadline(request.Context(), taken.Add(route.GiveUp+streamSlack))
--- a/internal/proxy/lane/lane.go
+++ b/internal/proxy/lane/lane.go
@@ -16,6 +16,7 @@
 	"sumacloft/internal/opconf"
 	"sumacloft/internal/proxy/budget"
 	"sumacloft/internal/proxy/calls"
+	"sumacloft/internal/trial"
 )
 
 // Surroundings are what all lanes of a proxy share.
@@ -27,6 +28,7 @@
 	Seed   uint64
 	Log    logrus.FieldLogger
 	Began  time.Time // of the process; zero: none ran before it
+	Trial  trial.Off
 }
 
 // age is for how long no other process can have taken further arrivals in this one's place.
@@ -207,6 +209,7 @@
 		settings.PinLimit = service.Runner.TicketHold
 		settings.WholeTokens = wholeTokens
 	}
+	l.switchOff(&settings)
 	settings.Kinds = []brain.Kind{
 		kindReading: {Role: brain.Reader, MemoryTokens: memory},
 		kindWriting: {Role: brain.Writer, MemoryTokens: memory},
@@ -215,6 +218,26 @@
 	return settings
 }
 
+// switchOff leaves out what a trial leaves out.
+func (l *Lane) switchOff(settings *brain.Settings) {
+	off := l.around.Trial
+	settings.Probing = !off.Has(trial.Probing)
+	settings.Cancelling = !off.Has(trial.CallOff)
+	settings.HoldOff = !off.Has(trial.HoldOff)
+	if off.Has(trial.ShortPrompts) {
+		settings.WholeTokens = 1 // what says nothing of its prompt must not be read apart
+	}
+	if off.Has(trial.RereadWeight) {
+		settings.RereadWeight = 0
+	}
+	if off.Has(trial.OneHome) {
+		settings.Zone = l.zone(l.around.Zone)
+	}
+	if off.Has(trial.LateShare) {
+		settings.LateShare = 0
+	}
+}
+
 // zone is the number of a zone; one that the boot file does not name comes after all that it does.
 func (l *Lane) zone(name string) int {
 	for i, zone := range l.around.Zones {
--- a/internal/proxy/run/run.go
+++ b/internal/proxy/run/run.go
@@ -27,6 +27,7 @@
 	"sumacloft/internal/proxy/front"
 	"sumacloft/internal/proxy/hints"
 	"sumacloft/internal/proxy/lane"
+	"sumacloft/internal/trial"
 	"sumacloft/internal/upstream"
 )
 
@@ -79,7 +80,7 @@
 	pool := upstream.NewPoolOn(WorkerTerms(over), upstream.NewBudget(sockets), dialLimit, idleLimit)
 	worker := calls.New(pool)
 	p := &Proxy{settings: settings, network: over, log: logger, pool: pool}
-	p.front = &front.Front{Calls: worker, Bounds: bounds.New()}
+	p.front = &front.Front{Calls: worker, Bounds: bounds.New(), NoPickUp: settings.Trial.Has(trial.PickUp)}
 	lines := logrus.New()
 	lines.SetOutput(ring)
 	seed := fnv.New64a()
@@ -93,8 +94,9 @@
 			Ratio:  settings.Rules.RetryRatio,
 			Extra:  settings.Rules.ExtraTries,
 		},
-		Seed: seed.Sum64(),
-		Log:  lines,
+		Seed:  seed.Sum64(),
+		Log:   lines,
+		Trial: settings.Trial,
 	}
 	if !settings.FirstRun {
 		around.Began = time.Now()
@@ -122,7 +124,9 @@
 		return err
 	}
 	p.feed.OnRouters = exchange.Peers
-	go exchange.Run(following)
+	if !p.settings.Trial.Has(trial.Hints) {
+		go exchange.Run(following)
+	}
 	go p.feed.Run(following)
 	go periodic.Run(following, sweepInterval, p.pool.Sweep)
 	p.ready.Store(true)
