A duty whose fence a worker has refused gives no more orders under it

Cause: an order that a worker refused with 412 was given again a second later under the same fence. Change: the owner of the duty notes the fence and waits for a lease with a higher one. Test: a story in memory, in which workers have seen a higher fence; it fails without the change (orders go on).

--- a/internal/control/member/duty.go
+++ b/internal/control/member/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -38,7 +39,8 @@
 	surveys  map[string]*survey         // by service
 	pending  map[string]change          // by worker
 	views    *views
-	number   uint64 // of the newest order or its end
+	outdated map[partition.Group]uint64 // highest fence that a worker has refused
+	number   uint64                     // of the newest order or its end
 }
 
 // change is an order under way.
@@ -57,6 +59,7 @@
 		surveys:  map[string]*survey{},
 		pending:  map[string]change{},
 		views:    &member.views,
+		outdated: map[partition.Group]uint64{},
 	}
 }
 
@@ -83,6 +86,9 @@
 	if !lease.Settled(d.member.settings.Rules.Lease + turnMargin) {
 		return // the holder before may have given an order just before it lost the lease
 	}
+	if lease.Fence <= d.outdated[group] {
+		return // another member has ordered under a higher fence: nothing more under this one
+	}
 	for service, workers := range services {
 		d.settle(workers, lease.Fence)
 		d.balance(ctx, group, service, workers)
@@ -171,6 +177,7 @@
 	for i, order := range orders {
 		d.member.log.Info().Str("worker", order.Worker).Str("phase", order.Phase).Err(results[i]).Msg("worker ordered to change its phase")
 		if results[i] != nil {
+			d.refused(group, d.pending[order.Worker].fence, results[i])
 			d.end(order.Worker, d.pending[order.Worker].fence)
 		}
 	}
@@ -186,6 +193,14 @@
 	return balance
 }
 
+// refused notes a fence that a worker has refused as too low.
+func (d *duty) refused(group partition.Group, fence uint64, why error) {
+	var outdated *outdatedError
+	if errors.As(why, &outdated) {
+		d.outdated[group] = max(d.outdated[group], fence)
+	}
+}
+
 // leftOut tells whether a trial leaves out the orders that are given for a reason.
 func (d *duty) leftOut(reason phases.Reason) bool {
 	off := d.member.settings.Trial
--- a/internal/control/member/workers.go
+++ b/internal/control/member/workers.go
@@ -25,6 +25,15 @@
 	workerIdle = 2 * time.Second
 )
 
+// outdatedError is a worker's word that it has seen a higher fence than the one an order bore: another member has taken
+// over the duty.
+type outdatedError struct{ worker string }
+
+// Error implements error.
+func (e *outdatedError) Error() string {
+	return "worker " + e.worker + " has seen a higher fence: another member gives its orders now"
+}
+
 // workerClient makes a control member's calls to workers.
 type workerClient struct {
 	reports *http.Client
@@ -93,6 +102,9 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	if answer.StatusCode == http.StatusPreconditionFailed {
+		return nil, Error.Wrap(&outdatedError{worker: worker})
+	}
 	if answer.StatusCode >= http.StatusMultipleChoices {
 		return nil, Error.New("worker %s answers %s with status %d", worker, path, answer.StatusCode)
 	}
--- a/internal/fleettest/duty_test.go
+++ b/internal/fleettest/duty_test.go
@@ -111,6 +111,27 @@
 	}
 }
 
+// A worker that has seen a higher fence gets no more orders under the one that it refused.
+func TestRefusedFenceIsNotUsedAgain(t *testing.T) {
+	Run(t, Plan{}, func(c *qt.C, f *Fleet) {
+		// Given workers that all read, so that some have to become writers, and that another has ordered under a higher fence.
+		for range 6 {
+			f.NewWorker(Model, Reading, Behaviour{}).SeeFence(1 << 40)
+		}
+		f.Serve()
+		// When the duty gives its first orders.
+		f.Until(30*time.Second, "an order", func() bool { return len(ordersOf(f)) > 0 })
+		time.Sleep(orderSettles)
+		first := len(ordersOf(f))
+		time.Sleep(30 * time.Second)
+		// Then none follows.
+		c.Assert(len(ordersOf(f)), qt.Equals, first)
+	})
+}
+
+// orderSettles is the time in which orders that were given together have all been answered.
+const orderSettles = 900 * time.Millisecond
+
 // member is the control member of a name.
 func (f *Fleet) member(node string) *Control {
 	for _, control := range f.Controls {
--- a/internal/fleettest/worker.go
+++ b/internal/fleettest/worker.go
@@ -163,6 +163,13 @@
 	w.behaviour = behaviour
 }
 
+// SeeFence has the worker refuse orders under lower fences.
+func (w *Worker) SeeFence(fence uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fence = fence
+}
+
 // Crash ends the worker without a word.
 func (w *Worker) Crash() {
 	w.cancel()
