--- a/brain/api.go
+++ b/brain/api.go
@@ -319,14 +319,31 @@
 	Attempt int
 }
 
+// Why is the reason of a final answer that is no success, in words for operators.
+type Why string
+
+// The reasons.
+const (
+	NoShare   Why = "the fleet has no room for its rank"
+	NothingTo Why = "its time, its attempts or what was read for it are over"
+	AllFull   Why = "all readers turned it away"
+	TooLong   Why = "it would wait too long"
+	NoWorker  Why = "there was no worker to send it to"
+	AtFault   Why = "a worker finds the request at fault"
+)
+
 // Refuse is a final answer that tells the client that trying again is harmless.
 type Refuse struct {
 	Request RequestID
+	Why     Why
 	HoldOff time.Duration // how long the client should stay away; 0: no advice
 }
 
 // Fail is a final answer that promises nothing.
-type Fail struct{ Request RequestID }
+type Fail struct {
+	Request RequestID
+	Why     Why
+}
 
 // Release lets go of every state held for the request that no attempt waits for.
 type Release struct{ Request RequestID }
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -110,7 +110,7 @@
 	if ev.Key == tickKey {
 		s.onTick()
 	} else if r := s.requests[RequestID(ev.Key)]; r != nil && !r.over && !r.started && s.now >= r.deadline {
-		s.giveUp(r, s.set.MaxHoldOff)
+		s.giveUp(r, s.set.MaxHoldOff, NothingTo)
 	}
 }
 
@@ -148,7 +148,7 @@
 	s.parked = nil
 	for _, r := range waiting {
 		if late := r.state == nil && s.now > r.aimAt; late && !r.over { // another router may know an engine
-			s.giveUp(r, s.set.MaxHoldOff)
+			s.giveUp(r, s.set.MaxHoldOff, NoWorker)
 		} else if !r.over {
 			s.next(r)
 		}
--- a/brain/readers.go
+++ b/brain/readers.go
@@ -57,14 +57,14 @@
 	}
 	if best == nil {
 		if s.parked = append(s.parked, r); r.sends > 0 { // all are full: waiting would feed the jam
-			s.giveUp(r, s.set.MaxHoldOff)
+			s.giveUp(r, s.set.MaxHoldOff, AllFull)
 		}
 		return
 	}
 	if wait := s.projectedWait(best, r) + s.startAfter(best); r.sends == 0 && wait > s.admitLimit(r) {
-		s.giveUp(r, share(wait, time.Second))
+		s.giveUp(r, share(wait, time.Second), TooLong)
 	} else if best.role == Reader && s.set.MaxAttempts > 0 && r.Tried+r.sends+2 > s.set.MaxAttempts {
-		s.giveUp(r, s.set.MaxHoldOff) // no attempt would be left to have the answer written
+		s.giveUp(r, s.set.MaxHoldOff, NothingTo) // no attempt would be left to have the answer written
 	} else {
 		s.send(r, best)
 	}
--- a/brain/requests.go
+++ b/brain/requests.go
@@ -22,7 +22,7 @@
 	r.deadline = s.now + ev.Left - 2*s.set.Step
 	s.requests[ev.Request] = r
 	if k := ev.Class; k >= 0 && k < len(s.set.Admitted) && ev.Rank >= s.set.Admitted[k] {
-		s.giveUp(r, share((1+unit(s.seed, uint64(ev.Request)))/2, s.set.MaxHoldOff)) // spread: no wave
+		s.giveUp(r, share((1+unit(s.seed, uint64(ev.Request)))/2, s.set.MaxHoldOff), NoShare) // no wave
 		return
 	}
 	s.seen++
@@ -37,7 +37,7 @@
 func (s *Scheduler) next(r *request) {
 	pinned := r.state != nil && s.now-r.stateAt > share(pinShare, s.set.PinLimit)
 	if s.now >= r.deadline || !s.mayRepeat(r) || pinned { // pinned: a new read would only add to the load
-		s.giveUp(r, s.set.MaxHoldOff)
+		s.giveUp(r, s.set.MaxHoldOff, NothingTo)
 	} else if r.state != nil || r.PromptTokens < s.set.WholeTokens {
 		s.write(r)
 	} else {
@@ -90,7 +90,7 @@
 		return
 	}
 	if ev.Result == Rejected { // neither another engine nor another try would help
-		s.do(Fail{Request: r.Request})
+		s.do(Fail{Request: r.Request, Why: AtFault})
 		s.close(r)
 		return
 	}
@@ -189,11 +189,11 @@
 }
 
 // giveUp gives the final answer at once; a refusal tells when to come back.
-func (s *Scheduler) giveUp(r *request, holdOff time.Duration) {
+func (s *Scheduler) giveUp(r *request, holdOff time.Duration, why Why) {
 	if r.mayRefuse() {
-		s.do(Refuse{Request: r.Request, HoldOff: min(holdOff, s.set.MaxHoldOff)})
+		s.do(Refuse{Request: r.Request, Why: why, HoldOff: min(holdOff, s.set.MaxHoldOff)})
 	} else {
-		s.do(Fail{Request: r.Request})
+		s.do(Fail{Request: r.Request, Why: why})
 	}
 	s.close(r)
 }
--- a/brain/writers.go
+++ b/brain/writers.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// write sends the waiting state's request, or a short prompt's, to the writer with the lowest projected memory;
-// near equals rank by the reader's cell, then its zone, then by a draw. The first that is at ease is taken.
+// write sends the waiting state's request, or a short prompt's, to the writer with the lowest projected
+// memory; near equals rank by the reader's cell, then its zone, then by a draw. The first at ease is taken.
 func (s *Scheduler) write(r *request) {
 	list := s.usable(r, func(e *engine) bool { return e.role == Writer })
 	if len(list) == 0 {
--- a/cmd/fleetd/ask.go
+++ b/cmd/fleetd/ask.go
@@ -21,7 +21,7 @@
 
 // statusCommand prints what a process knows of the fleet.
 type statusCommand struct {
-	Address string `arg:"" help:"Inside address (host:port) of a control member or an agent."`
+	Address string `arg:"" help:"Inside address (host:port) of a control member or an agent; of a proxy, its loopback address."`
 	JSON    bool   `name:"json" help:"Print JSON, for programs."`
 }
 
--- a/cmd/fleetd/ask_test.go
+++ b/cmd/fleetd/ask_test.go
@@ -103,6 +103,35 @@
 	c.Assert(got.out, qt.Not(qt.Contains), "disk log")
 }
 
+func TestAProxysStatusIsItsDecisions(t *testing.T) {
+	c := qt.New(t)
+	// Given a proxy that has refused two requests, when it is asked, then each decision stands with its count and its reason.
+	report := &status.Report{Kind: status.KindProxy, Node: "edge-1", Zone: "south", UpMS: 1500, Decisions: []status.Decision{
+		{Service: "chat", Kind: "refused", Why: "it would wait too long", Count: 2},
+	}}
+	got := runLine(c, "status", serveStatus(c, report, nil))
+	c.Assert(got.err, qt.IsNil)
+	c.Assert(got.out, qt.Equals, `edge-1: proxy in zone south, up 1.5s
+
+SERVICE  DECISION  COUNT  WHY
+chat     refused   2      it would wait too long
+`)
+}
+
+func TestPhasesAreWeighedInTheStatus(t *testing.T) {
+	c := qt.New(t)
+	// Given the member that looks after phases, when it is asked, then it tells what it saw, what it wants and why.
+	report := controlReport()
+	report.Balances = []status.Balance{{
+		Service: "chat", Readers: 22, Writers: 20, ReadPressure: 1.17, WritePressure: 2.092, ReadsQueued: 12, Target: 24, Orders: 4,
+		Reason: "writers lack room",
+	}}
+	got := runLine(c, "status", serveStatus(c, report, nil))
+	c.Assert(got.err, qt.IsNil)
+	c.Assert(got.out, qt.Contains, "PHASES OF  READERS  WRITERS  READ PRESSURE  WRITE PRESSURE  READS QUEUED  WRITERS WANTED  ORDERS  WHY\n"+
+		"chat       22       20       1.17           2.09            12            24              4       writers lack room\n")
+}
+
 func TestAProcessThatDoesNotAnswerIsTold(t *testing.T) {
 	c := qt.New(t)
 	// Given an address that is none, one where nobody listens, and a member that fails, when they are asked
--- a/cmd/fleetd/lines.go
+++ b/cmd/fleetd/lines.go
@@ -54,16 +54,18 @@
 	}
 }
 
-// serveLog gives a proxy's log lines to operators on its own machine. A proxy serves clients without it as well.
-func serveLog(p *process) *rpc.Server {
+// serveProxyStatus gives a proxy's decisions and log lines to operators on its own machine. A proxy serves clients without it as
+// well.
+func serveProxyStatus(p *process, handle func(*http.ServeMux)) *rpc.Server {
 	mux := http.NewServeMux()
+	handle(mux)
 	status.HandleLog(mux, p.ring)
 	server := rpc.NewServer(network.System{}, mux)
 	if p.settings.InsidePorts.Count() <= membership.PortProxy {
 		return server
 	}
 	if err := server.Serve(agent.LoopbackAddress(p.settings, membership.PortProxy)); err != nil {
-		p.log.Warn().Err(err).Msg("nobody can ask this proxy for its log; SIGUSR1 writes it out")
+		p.log.Warn().Err(err).Msg("nobody can ask this proxy for its decisions and its log; SIGUSR1 writes it out")
 	}
 	return server
 }
--- a/cmd/fleetd/main.go
+++ b/cmd/fleetd/main.go
@@ -90,9 +90,10 @@
 	}
 	defer p.stop()
 	signal.Ignore(syscall.SIGHUP) // what the proxy needs comes by its agent
-	shown := serveLog(p)
+	proxy := run.New(p.settings, network.System{}, p.log, p.out)
+	shown := serveProxyStatus(p, proxy.HandleStatus)
 	defer func() { _ = shown.Close() }() // the process ends
-	return run.New(p.settings, network.System{}, p.log, p.out).Run(p.ctx)
+	return proxy.Run(p.ctx)
 }
 
 // agentCommand runs an agent.
--- a/cmd/fleetd/table.go
+++ b/cmd/fleetd/table.go
@@ -37,11 +37,17 @@
 
 // reportText is a report for people.
 func reportText(report *status.Report) string {
+	if report.Kind == status.KindProxy {
+		return proxyText(report)
+	}
 	parts := []string{headText(report)}
 	if len(report.Partitions) > 0 {
 		names := namesOf(report.Controls)
 		parts = append(parts, partitionsText(report.Partitions, names), membersText(report.Partitions, names))
 	}
+	if len(report.Balances) > 0 {
+		parts = append(parts, balancesText(report.Balances))
+	}
 	parts = append(parts, controlsText(report.Controls), routersText(report.Routers), workersText(report.Workers))
 	return strings.Join(parts, "\n")
 }
@@ -164,4 +170,27 @@
 	return t.String()
 }
 
+// proxyText is what a proxy has decided.
+func proxyText(report *status.Report) string {
+	up := time.Duration(report.UpMS) * time.Millisecond
+	head := fmt.Sprintf("%s: proxy in zone %s, up %v\n", report.Node, report.Zone, up)
+	t := newTable("SERVICE", "DECISION", "COUNT", "WHY")
+	for _, decision := range report.Decisions {
+		t.row(decision.Service, decision.Kind, decimal(decision.Count), decision.Why)
+	}
+	return head + "\n" + t.String()
+}
+
+// balancesText is what the balances of phases saw last, and what they want.
+func balancesText(balances []status.Balance) string {
+	t := newTable("PHASES OF", "READERS", "WRITERS", "READ PRESSURE", "WRITE PRESSURE", "READS QUEUED", "WRITERS WANTED", "ORDERS", "WHY")
+	for _, seen := range balances {
+		t.row(seen.Service, strconv.Itoa(seen.Readers), strconv.Itoa(seen.Writers), hundredths(seen.ReadPressure),
+			hundredths(seen.WritePressure), strconv.Itoa(seen.ReadsQueued), strconv.Itoa(seen.Target), strconv.Itoa(seen.Orders), seen.Reason)
+	}
+	return t.String()
+}
+
+func hundredths(number float64) string { return strconv.FormatFloat(number, 'f', 2, 64) }
+
 func decimal(number uint64) string { return strconv.FormatUint(number, 10) }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -88,6 +88,8 @@
 	heard    time.Duration // when the module was last told anything
 	paused   time.Duration // for how long in all this process was not running
 	last     bool          // nothing new is taken any more
+
+	decisions Decisions
 }
 
 // New makes a core. The seed settles the module's draws.
@@ -95,9 +97,10 @@
 	now := time.Now()
 	return &Core{log: log, prober: prober, zero: now, unix: time.Duration(now.UnixNano()),
 		sched: brain.New(set, seed), workers: map[brain.EngineID]*Worker{},
-		requests: map[brain.RequestID]*request{},
-		lastID:   brain.RequestID(now.UnixMicro()), // ids of an earlier start do not come again
-		sooner:   make(chan struct{}, 1)}
+		requests:  map[brain.RequestID]*request{},
+		decisions: Decisions{Refused: map[brain.Why]uint64{}, Failed: map[brain.Why]uint64{}},
+		lastID:    brain.RequestID(now.UnixMicro()), // ids of an earlier start do not come again
+		sooner:    make(chan struct{}, 1)}
 }
 
 // Retune has the module take new settings for requests that come from now on.
@@ -190,10 +193,12 @@
 		}
 	case brain.Refuse:
 		if r := c.requests[a.Request]; r != nil {
+			c.count(a)
 			r.end(a)
 		}
 	case brain.Fail:
 		if r := c.requests[a.Request]; r != nil {
+			c.count(a)
 			r.fail()
 		}
 	case brain.Release:
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -312,8 +312,9 @@
 	defer c.mu.Unlock()
 	e.Request, e.Attempt, e.Engine, e.Took = r.id, a.number, a.worker.ID, c.took(a.sent, a.paused)
 	r.out--
-	if e.Last {
-		r.fail() // unless it has its answer
+	if e.Last && !r.decided {
+		c.count(brain.Refuse{Why: whyUndecided})
+		r.fail()
 	}
 	c.handle(e)
 	c.forget(r)
--- a/internal/mesh/status/report.go
+++ b/internal/mesh/status/report.go
@@ -6,6 +6,7 @@
 const (
 	KindControl = "control"
 	KindAgent   = "agent"
+	KindProxy   = "proxy"
 )
 
 // Question asks a process for its Report.
@@ -24,6 +25,15 @@
 	Partitions    []Partition   `cbor:"9,keyasint,omitempty" json:"partitions,omitempty"` // of control members
 	Disk          *Disk         `cbor:"10,keyasint,omitempty" json:"disk,omitempty"`      // of control members
 	Balances      []Balance     `cbor:"11,keyasint,omitempty" json:"balances,omitempty"`  // of the member that looks after phases
+	Decisions     []Decision    `cbor:"12,keyasint,omitempty" json:"decisions,omitempty"` // of proxies
+}
+
+// Decision counts what a proxy decided for one reason since it began.
+type Decision struct {
+	Service string `cbor:"1,keyasint" json:"service"`
+	Kind    string `cbor:"2,keyasint" json:"kind"` // refused, failed, further arrival at a worker, or one that was not allowed
+	Why     string `cbor:"3,keyasint" json:"why"`
+	Count   uint64 `cbor:"4,keyasint" json:"count"`
 }
 
 // Balance is what the balance of a service's phases saw last, what it wants, and why.
--- a/internal/proxy/calls/job.go
+++ b/internal/proxy/calls/job.go
@@ -15,13 +15,6 @@
 	"sumacloft/internal/upstream"
 )
 
-// Allowance is the budget of further arrivals at the request's service.
-type Allowance interface {
-	Take() bool  // one more, if there is room
-	Spare() bool // whether there is room for one that a first call would cause by failing
-	Charge()     // one more, that could not be asked for
-}
-
 // Job is one client's request on its way to workers; it serves core.Job.
 type Job struct {
 	calls     *Calls
@@ -111,7 +104,7 @@
 		return core.Reply{}, spent()
 	}
 	first := j.again(func() bool { return j.reads == 0 })
-	if first && !j.allowance.Spare() || !first && !j.pay() {
+	if first && !j.allowance.Spare() || !first && !j.pay(FurtherRead) {
 		return core.Reply{}, spent()
 	}
 	reply, err := j.askToRead(ctx, worker, clear)
@@ -182,25 +175,16 @@
 		return core.Reply{}, spent()
 	}
 	free := j.again(j.runIsFree)
-	if !free && !j.pay() {
+	if !free && !j.pay(j.whyRun()) {
 		return core.Reply{}, spent()
 	}
 	reply, err := j.askToRun(ctx, worker, clear)
 	if free && err != nil && j.again(func() bool { return j.sent > 0 && j.reads > 0 }) {
-		j.allowance.Charge() // of a request that has not run the read before it counts
+		j.allowance.Charge(FurtherFailedRun) // of a request that has not run the read before it counts
 	}
 	return reply, err
 }
 
-// runIsFree tells whether a call to have the request run is no further arrival: the first call of all, or the one after a
-// read that succeeded as the first call. The lock is held.
-func (j *Job) runIsFree() bool {
-	if j.sent > 0 {
-		return false
-	}
-	return j.reads == 0 || j.reads == 1 && j.readAtOnce
-}
-
 // askToRun makes one call to have the request run, from the memory of the last read if there is one.
 func (j *Job) askToRun(ctx context.Context, worker core.Worker, clear func() error) (core.Reply, error) {
 	held := j.ticket()
@@ -346,21 +330,6 @@
 	return j.held
 }
 
-// pay takes one more arrival from the allowance. What was taken for an attempt that was never written, for want of a
-// connection, is still there.
-func (j *Job) pay() bool {
-	if j.again(func() bool { return j.paid }) {
-		return true
-	}
-	if !j.allowance.Take() {
-		return false
-	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.paid = true
-	return true
-}
-
 // again asks about the job's counts under its lock.
 func (j *Job) again(ask func() bool) bool {
 	j.mu.Lock()
--- a/internal/proxy/calls/pay_test.go
+++ b/internal/proxy/calls/pay_test.go
@@ -24,9 +24,9 @@
 // counted is an allowance that counts what is taken.
 type counted struct{ taken int }
 
-func (c *counted) Take() bool  { c.taken++; return true }
-func (c *counted) Spare() bool { return true }
-func (c *counted) Charge()     {}
+func (c *counted) Take(Further) bool { c.taken++; return true }
+func (c *counted) Spare() bool       { return true }
+func (c *counted) Charge(Further)    {}
 
 // Given a request whose repeat finds no connection at one worker after the other, then the allowance is asked once: nothing
 // has arrived.
--- a/internal/proxy/feed/feed.go
+++ b/internal/proxy/feed/feed.go
@@ -223,3 +223,14 @@
 	sort.Strings(names)
 	return names
 }
+
+// Decisions are what the lanes have decided, by the name of the service.
+func (f *Feed) Decisions() map[string][]lane.Decision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := make(map[string][]lane.Decision, len(f.lanes))
+	for name, served := range f.lanes {
+		all[name] = served.Decisions()
+	}
+	return all
+}
--- a/internal/proxy/lane/lane.go
+++ b/internal/proxy/lane/lane.go
@@ -52,6 +52,7 @@
 	settings brain.Settings
 	classes  map[string]int // by the route's name; places never change
 	listed   map[brain.EngineID]bool
+	further  furtherCounts
 }
 
 // New makes the lane of a service and runs it until Stop.
@@ -65,6 +66,7 @@
 		budget:  budget.New(around.Budget, routers, around.age()),
 		classes: map[string]int{},
 		listed:  map[brain.EngineID]bool{},
+		further: furtherCounts{},
 	}
 	l.settings = l.newSettings(service, routers)
 	l.core = core.New(l.settings, around.Seed, around.Calls, around.Log)
@@ -101,27 +103,6 @@
 	l.core.Do(ctx, job, client)
 }
 
-// Take serves calls.Allowance.
-func (l *Lane) Take() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.budget.Take(time.Since(l.began))
-}
-
-// Spare serves calls.Allowance.
-func (l *Lane) Spare() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.budget.Spare(time.Since(l.began))
-}
-
-// Charge serves calls.Allowance.
-func (l *Lane) Charge() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.budget.Charge(time.Since(l.began))
-}
-
 // Configure takes the service, the routes to it and the number of routers as they are now.
 func (l *Lane) Configure(service opconf.Service, routes []opconf.Route, routers int) {
 	l.mu.Lock()
--- a/internal/proxy/run/run.go
+++ b/internal/proxy/run/run.go
@@ -61,6 +61,7 @@
 	feed     *feed.Feed
 	pool     *upstream.Pool
 	ready    atomic.Bool
+	began    time.Time
 }
 
 // WorkerTerms are the terms on which a proxy speaks to workers.
@@ -79,7 +80,7 @@
 	sockets := max(settings.Limits.OpenFiles-reservedDescriptors, 64) / 2
 	pool := upstream.NewPoolOn(WorkerTerms(over), upstream.NewBudget(sockets), dialLimit, idleLimit)
 	worker := calls.New(pool)
-	p := &Proxy{settings: settings, network: over, log: logger, pool: pool}
+	p := &Proxy{settings: settings, network: over, log: logger, pool: pool, began: time.Now()}
 	p.front = &front.Front{Calls: worker, Bounds: bounds.New(), NoPickUp: settings.Trial.Has(trial.PickUp)}
 	lines := logrus.New()
 	lines.SetOutput(ring)
--- /dev/null
+++ b/internal/proxy/run/status.go
@@ -0,0 +1,38 @@
+package run
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"sumacloft/internal/mesh/status"
+)
+
+// HandleStatus serves what operators ask a proxy about its decisions.
+func (p *Proxy) HandleStatus(mux *http.ServeMux) {
+	status.CallStatus.Handle(mux, p.report)
+}
+
+// report is what the proxy has decided since it began.
+func (p *Proxy) report(context.Context, *status.Question) (*status.Report, error) {
+	report := &status.Report{
+		Kind: status.KindProxy,
+		Node: p.settings.Node,
+		Zone: p.settings.Zone,
+		UpMS: time.Since(p.began).Milliseconds(),
+	}
+	decided := p.feed.Decisions()
+	for _, service := range slices.Sorted(maps.Keys(decided)) {
+		for _, one := range decided[service] {
+			report.Decisions = append(report.Decisions, status.Decision{
+				Service: service,
+				Kind:    string(one.Kind),
+				Why:     one.Why,
+				Count:   one.Count,
+			})
+		}
+	}
+	return report, nil
+}
