Final answers are counted where they are given, as the client gets them

Found in a last reading: refusals and failures were counted when the module decided, so one that it failed and that was never sent on counted as failed though its client was refused, an end for want of a further attempt counted as refused though it may have failed, and those of the last call and of a fault were not counted at all. Change: the one place that takes a request's final answer counts it. The line that names a process in fleetd status stands once; a parameter of a test that never changed is a value. Behaviour towards clients and workers is unchanged.

--- a/cmd/fleetd/table.go
+++ b/cmd/fleetd/table.go
@@ -52,14 +52,18 @@
 	return strings.Join(parts, "\n")
 }
 
+// titleText says which process reports.
+func titleText(report *status.Report, kind string) string {
+	up := time.Duration(report.UpMS) * time.Millisecond
+	return fmt.Sprintf("%s: %s in zone %s, up %v\n", report.Node, kind, report.Zone, up)
+}
+
 func headText(report *status.Report) string {
 	kind := "control member"
 	if report.Kind == status.KindAgent {
 		kind = "agent"
 	}
-	up := time.Duration(report.UpMS) * time.Millisecond
-	text := fmt.Sprintf("%s: %s in zone %s, up %v\n", report.Node, kind, report.Zone, up)
-	text += configurationText(report.Configuration)
+	text := titleText(report, kind) + configurationText(report.Configuration)
 	if disk := report.Disk; disk != nil {
 		text += fmt.Sprintf("disk log: record %d, segment %d of generation %d, %d bytes used, %d free\n",
 			disk.Sequence, disk.Segment, disk.Generation, disk.UsedBytes, disk.FreeBytes)
@@ -172,13 +176,11 @@
 
 // proxyText is what a proxy has decided.
 func proxyText(report *status.Report) string {
-	up := time.Duration(report.UpMS) * time.Millisecond
-	head := fmt.Sprintf("%s: proxy in zone %s, up %v\n", report.Node, report.Zone, up)
 	t := newTable("SERVICE", "DECISION", "COUNT", "WHY")
 	for _, decision := range report.Decisions {
 		t.row(decision.Service, decision.Kind, decimal(decision.Count), decision.Why)
 	}
-	return head + "\n" + t.String()
+	return titleText(report, "proxy") + "\n" + t.String()
 }
 
 // balancesText is what the balances of phases saw last, and what they want.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -193,13 +193,11 @@
 		}
 	case brain.Refuse:
 		if r := c.requests[a.Request]; r != nil {
-			c.count(a)
 			r.end(a)
 		}
 	case brain.Fail:
 		if r := c.requests[a.Request]; r != nil {
-			c.count(a)
-			r.fail()
+			r.fail(a.Why)
 		}
 	case brain.Release:
 		if r := c.requests[a.Request]; r != nil {
--- a/internal/core/decisions.go
+++ b/internal/core/decisions.go
@@ -6,10 +6,10 @@
 	"sumacloft/brain"
 )
 
-// LastCall and the end of an attempt end requests that the module has not decided.
+// whyUndecided is of requests that end without a decision of the module.
 const whyUndecided brain.Why = "the router ended it: a fault, its last call, or no further attempt was allowed"
 
-// Decisions counts the final answers that were no success, by reason. The module's decisions are counted as it gives them.
+// Decisions counts the final answers that were no success, by reason, as clients get them.
 type Decisions struct {
 	Refused map[brain.Why]uint64 // trying again is harmless
 	Failed  map[brain.Why]uint64 // nothing is promised
@@ -22,12 +22,12 @@
 	return Decisions{Refused: maps.Clone(c.decisions.Refused), Failed: maps.Clone(c.decisions.Failed)}
 }
 
-// count notes a final answer. The lock is held.
-func (c *Core) count(answer brain.Action) {
+// count notes a final answer. The core's lock is held.
+func (d *Decisions) count(answer brain.Action) {
 	switch a := answer.(type) {
 	case brain.Refuse:
-		c.decisions.Refused[a.Why]++
+		d.Refused[a.Why]++
 	case brain.Fail:
-		c.decisions.Failed[a.Why]++
+		d.Failed[a.Why]++
 	}
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -23,6 +23,8 @@
 	out      int // attempts whose end the module has not been told, and releases under way
 	decided  bool
 	left     bool // its task has ended: nothing reads the mail
+
+	decisions *Decisions // of the core
 }
 
 // attempt is one sending of a request to a worker.
@@ -74,10 +76,10 @@
 	defer c.mu.Unlock()
 	c.lastID++
 	arrived := job.Arrival(c.lastID)
-	r := &request{id: c.lastID, job: job, deadline: time.Now().Add(arrived.Left), wake: make(chan struct{}, 1)}
+	r := &request{id: c.lastID, job: job, deadline: time.Now().Add(arrived.Left), wake: make(chan struct{}, 1), decisions: &c.decisions}
 	c.requests[r.id] = r
 	if c.last {
-		r.fail()
+		r.fail(whyUndecided)
 		return r
 	}
 	c.handle(arrived)
@@ -117,7 +119,7 @@
 	defer c.mu.Unlock()
 	if !r.decided {
 		c.log.WithField("request", r.id).Error("the module did not decide in time")
-		r.fail()
+		r.fail(whyUndecided)
 		c.handle(brain.Gone{Request: r.id})
 	}
 }
@@ -141,7 +143,7 @@
 	c.last = true
 	for _, r := range c.requests {
 		if !r.decided && !r.left {
-			r.fail()
+			r.fail(whyUndecided)
 			c.handle(brain.Gone{Request: r.id})
 			ended++
 		}
@@ -158,28 +160,29 @@
 	}
 }
 
-// end takes the final answer, once.
+// end takes the final answer, once, and counts it.
 func (r *request) end(answer brain.Action) {
 	if !r.decided {
 		r.decided = true
+		r.decisions.count(answer)
 		r.post(answer)
 	}
 }
 
 // fail ends a request as one that may have run. Of one that was never sent on it is known better: what is still to be
 // written never will be, and the client is told that trying again is harmless.
-func (r *request) fail() {
+func (r *request) fail(why brain.Why) {
 	if r.decided {
 		return
 	}
 	if slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.cleared }) {
-		r.end(brain.Fail{Request: r.id})
+		r.end(brain.Fail{Request: r.id, Why: why})
 		return
 	}
 	for _, a := range r.attempts {
 		a.callOff()
 	}
-	r.end(brain.Refuse{Request: r.id})
+	r.end(brain.Refuse{Request: r.id, Why: why})
 }
 
 // send opens the next attempt. One that can no longer be made is reported as never sent, since each Send has
@@ -312,9 +315,8 @@
 	defer c.mu.Unlock()
 	e.Request, e.Attempt, e.Engine, e.Took = r.id, a.number, a.worker.ID, c.took(a.sent, a.paused)
 	r.out--
-	if e.Last && !r.decided {
-		c.count(brain.Refuse{Why: whyUndecided})
-		r.fail()
+	if e.Last {
+		r.fail(whyUndecided) // unless it has its answer
 	}
 	c.handle(e)
 	c.forget(r)
--- a/internal/proxy/front/arrivals_test.go
+++ b/internal/proxy/front/arrivals_test.go
@@ -47,7 +47,7 @@
 
 // furtherArrivals counts arrivals past the first of each request as the operators do: the read is none if it is the first
 // call, succeeds, and the request runs in the end.
-func furtherArrivals(workers []*worker, readsSucceed func(id string) bool, ran map[string]bool) (further int) {
+func furtherArrivals(workers []*worker, readsSucceed bool, ran map[string]bool) (further int) {
 	calls := map[string][]call{}
 	for _, w := range workers {
 		for _, request := range w.seen() {
@@ -59,7 +59,7 @@
 	for id, all := range calls {
 		slices.SortFunc(all, func(a, b call) int { return a.at.Compare(b.at) })
 		further += len(all) - 1
-		if all[0].reader && len(all) > 1 && readsSucceed(id) && ran[id] {
+		if all[0].reader && len(all) > 1 && readsSucceed && ran[id] {
 			further--
 		}
 	}
@@ -103,7 +103,7 @@
 				}
 				time.Sleep(windUp)
 				// Then what arrived past the first of each keeps to the operators' bound.
-				further := furtherArrivals(workers, func(string) bool { return given.readsSucceed }, ran)
+				further := furtherArrivals(workers, given.readsSucceed, ran)
 				c.Assert(further <= extra+asked/5, qt.IsTrue, qt.Commentf("%d further arrivals for %d requests", further, asked))
 			})
 		})
