The laboratory waits until each daemon's list of servers is written

`record`, by which the laboratory says what version a server runs, passes over daemons that have no list, as those without a member of the store have none. Beside load the list came after the first one or two records, so that one router's list had s1 (and s2) without a version for good; once that router decided, the board missed them. Both failures lacked just the first ones written: s1, and s1 and s2.

Change: the outage fleet's Up waits for the whole list of each daemon that writes one; nothing asserted less.

--- a/internal/lab/outage.go
+++ b/internal/lab/outage.go
@@ -84,6 +84,29 @@
 	return f, nil
 }
 
+// Up starts all daemons and waits until they are ready and each that holds a member of the store has its list of servers there.
+// A daemon is ready before it has written that list, and what is recorded of a server before then would stand in the other
+// daemons' lists alone.
+func (f *OutageFleet) Up(ctx context.Context) error {
+	if err := f.SiteFleet.Up(ctx); err != nil {
+		return err
+	}
+	for i, d := range f.Daemons {
+		if f.o.member(i) && !until(ctx, within, func() bool { return f.listed(ctx, d) }) {
+			return &NotSeenError{What: "the list of servers that " + d.Name + " writes into the store"}
+		}
+	}
+	return nil
+}
+
+// listed tells whether a daemon's list stands in the store; false: it doesn't, or nobody answers.
+func (f *OutageFleet) listed(ctx context.Context, d *Daemon) bool {
+	ctx, done := context.WithTimeout(ctx, time.Second)
+	defer done()
+	list, err := f.kv.Range(ctx, etcd.Under(fmt.Sprintf("/sumacloft/members/%s/", d.Name), false))
+	return err == nil && len(list.Kvs) == len(f.servers)
+}
+
 // Close ends all that runs.
 func (f *OutageFleet) Close() error { return errors.Join(f.kv.Close(), f.SiteFleet.Close()) }
 
