The status calls stand above mesh: mesh/status becomes internal/status

It reads workers' entries, whose type is the registry's, so it imported the control plane from below it. Every process of the fleet serves it, so it stands beside agent, proxy and control. Moved whole, nothing else changed; tests of its package, the agent, the control member and the command line pass.

--- a/cmd/fleetd/ask.go
+++ b/cmd/fleetd/ask.go
@@ -10,7 +10,7 @@
 
 	"sumacloft/internal/mesh/network"
 	"sumacloft/internal/mesh/rpc"
-	"sumacloft/internal/mesh/status"
+	"sumacloft/internal/status"
 )
 
 // askError is the class of questions to a process that got no answer of use.
--- a/cmd/fleetd/ask_test.go
+++ b/cmd/fleetd/ask_test.go
@@ -11,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"sumacloft/internal/logring"
-	"sumacloft/internal/mesh/status"
+	"sumacloft/internal/status"
 )
 
 // controlReport is what a control member tells in these tests.
--- a/cmd/fleetd/lines.go
+++ b/cmd/fleetd/lines.go
@@ -14,7 +14,7 @@
 	"sumacloft/internal/mesh/membership"
 	"sumacloft/internal/mesh/network"
 	"sumacloft/internal/mesh/rpc"
-	"sumacloft/internal/mesh/status"
+	"sumacloft/internal/status"
 )
 
 // ringBytes is how much of the log is held in memory.
--- a/cmd/fleetd/table.go
+++ b/cmd/fleetd/table.go
@@ -7,7 +7,7 @@
 	"text/tabwriter"
 	"time"
 
-	"sumacloft/internal/mesh/status"
+	"sumacloft/internal/status"
 )
 
 // columnGap is the blanks between columns.
--- a/examples/fleetd/demo.go
+++ b/examples/fleetd/demo.go
@@ -16,7 +16,7 @@
 	"sumacloft/internal/boot"
 	"sumacloft/internal/mesh/network"
 	"sumacloft/internal/mesh/rpc"
-	"sumacloft/internal/mesh/status"
+	"sumacloft/internal/status"
 )
 
 //go:embed configuration.json
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,7 +16,7 @@
 	"sumacloft/internal/mesh/network"
 	"sumacloft/internal/mesh/replica"
 	"sumacloft/internal/mesh/rpc"
-	"sumacloft/internal/mesh/status"
+	"sumacloft/internal/status"
 	"sumacloft/internal/mesh/topic"
 )
 
--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"sumacloft/internal/mesh/status"
+	"sumacloft/internal/status"
 )
 
 // ShowLog has the agent give its log lines to operators who ask; call it before Run.
--- a/internal/agent/status_test.go
+++ b/internal/agent/status_test.go
@@ -9,7 +9,7 @@
 
 	"sumacloft/internal/boot"
 	"sumacloft/internal/mesh/network"
-	"sumacloft/internal/mesh/status"
+	"sumacloft/internal/status"
 	"sumacloft/internal/mesh/topic"
 )
 
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -22,7 +22,7 @@
 	"sumacloft/internal/mesh/network"
 	"sumacloft/internal/mesh/replica"
 	"sumacloft/internal/mesh/rpc"
-	"sumacloft/internal/mesh/status"
+	"sumacloft/internal/status"
 	"sumacloft/internal/mesh/tombstone"
 	"sumacloft/internal/mesh/topic"
 	"sumacloft/internal/periodic"
--- a/internal/control/member/status.go
+++ b/internal/control/member/status.go
@@ -10,7 +10,7 @@
 	"sumacloft/internal/control/consensus"
 	"sumacloft/internal/control/disklog"
 	"sumacloft/internal/control/partition"
-	"sumacloft/internal/mesh/status"
+	"sumacloft/internal/status"
 )
 
 // ShowLog has the member give its log lines to operators who ask; call it before Run.
--- a/internal/control/member/status_test.go
+++ b/internal/control/member/status_test.go
@@ -9,7 +9,7 @@
 	"sumacloft/internal/control/consensus"
 	"sumacloft/internal/control/disklog"
 	"sumacloft/internal/control/partition"
-	"sumacloft/internal/mesh/status"
+	"sumacloft/internal/status"
 )
 
 // The members of the tests' partitions.
--- a/internal/control/member/views.go
+++ b/internal/control/member/views.go
@@ -6,7 +6,7 @@
 	"sync"
 
 	"sumacloft/internal/control/phases"
-	"sumacloft/internal/mesh/status"
+	"sumacloft/internal/status"
 )
 
 // views are what the balances of phases saw and wanted last, by service, for operators who ask. The zero value is ready.
--- a/internal/fleettest/control.go
+++ b/internal/fleettest/control.go
@@ -10,7 +10,7 @@
 	"sumacloft/internal/control/member"
 	"sumacloft/internal/fleettest/memnet"
 	"sumacloft/internal/mesh/rpc"
-	"sumacloft/internal/mesh/status"
+	"sumacloft/internal/status"
 )
 
 // segmentBytes is the size of the files on members' disks: small, so that stories come to the end of some.
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"sumacloft/internal/mesh/status"
+	"sumacloft/internal/status"
 )
 
 // alive counts the peers that are not down.
--- a/internal/proxy/run/status.go
+++ b/internal/proxy/run/status.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"sumacloft/internal/mesh/status"
+	"sumacloft/internal/status"
 )
 
 // HandleStatus serves what operators ask a proxy about its decisions.
