--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,8 +16,8 @@
 	"sumacloft/internal/mesh/network"
 	"sumacloft/internal/mesh/replica"
 	"sumacloft/internal/mesh/rpc"
-	"sumacloft/internal/status"
 	"sumacloft/internal/mesh/topic"
+	"sumacloft/internal/status"
 )
 
 const (
--- a/internal/agent/status_test.go
+++ b/internal/agent/status_test.go
@@ -9,8 +9,8 @@
 
 	"sumacloft/internal/boot"
 	"sumacloft/internal/mesh/network"
-	"sumacloft/internal/status"
 	"sumacloft/internal/mesh/topic"
+	"sumacloft/internal/status"
 )
 
 func TestAnAgentReportsWhatItKnows(t *testing.T) {
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -22,10 +22,10 @@
 	"sumacloft/internal/mesh/network"
 	"sumacloft/internal/mesh/replica"
 	"sumacloft/internal/mesh/rpc"
-	"sumacloft/internal/status"
 	"sumacloft/internal/mesh/tombstone"
 	"sumacloft/internal/mesh/topic"
 	"sumacloft/internal/periodic"
+	"sumacloft/internal/status"
 )
 
 // Error is the class of this package's failures.
--- a/internal/status/gather_test.go
+++ b/internal/status/gather_test.go
@@ -15,8 +15,8 @@
 	"sumacloft/internal/mesh/network"
 	"sumacloft/internal/mesh/replica"
 	"sumacloft/internal/mesh/rpc"
-	"sumacloft/internal/status"
 	"sumacloft/internal/mesh/topic"
+	"sumacloft/internal/status"
 )
 
 // entriesOf are a configuration, peers and workers as they are replicated.
