--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -133,7 +133,7 @@
 	return nil
 }
 
-// begin begins one process.
+// begin begins one process; call it on the main thread, with which the process ends.
 func (f *fleet) begin(m *machine, role string, first bool) (*exec.Cmd, error) {
 	path, err := f.boot(m, role, first)
 	if err != nil {
@@ -147,7 +147,7 @@
 	process := exec.Command(f.stage.fleetd, role)
 	process.Env = append(os.Environ(), "SUMACLOFT_BOOT="+path)
 	process.Stdout, process.Stderr = log, log
-	process.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	process.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	return process, process.Start()
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -40,6 +41,7 @@
 }
 
 func main() {
+	runtime.LockOSThread() // the processes that it starts end with this thread, also where it is killed; see begin
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FLEETD FOLDER")
 		os.Exit(2)
@@ -49,7 +51,7 @@
 
 // run plays one case and returns the exit status.
 func run(name, fleetd, folder string) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, caseLimit)
 	defer cancel()
