Core: a request whose time is up always gets an answer; no implicit 200

Cause: next took the end of the context by its own deadline for a client that has left; net/http answers a handler that wrote nothing with 200. Change: only a cancelled context counts as a client that left; responseguard aborts what no handler answered, at both fronts, the control API and readiness. An answer that broke before its head was passed on is 502 or 504.

--- a/internal/control/steering/coordination.go
+++ b/internal/control/steering/coordination.go
@@ -10,6 +10,7 @@
 	"github.com/tidwall/gjson"
 
 	"sumacloft/internal/control/coordination"
+	"sumacloft/internal/responseguard"
 )
 
 // Coordination executes applications' calls for locks, counters and keys. The statuses Elsewhere and Full guarantee that
@@ -85,7 +86,7 @@
 // readCall parses and validates a call. If the call is invalid it answers the request and returns false.
 func readCall(w http.ResponseWriter, request *http.Request, kind coordination.Kind, fields ...field) (coordination.Call, bool) {
 	call := coordination.Call{Kind: kind, Name: request.PathValue("id")}
-	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxCallBytes))
+	body, err := io.ReadAll(responseguard.MaxBytesReader(w, request.Body, maxCallBytes))
 	if err != nil {
 		fail(w, http.StatusBadRequest, "the call can't be read, or is larger than 16 KiB")
 		return call, false
--- a/internal/control/steering/steering.go
+++ b/internal/control/steering/steering.go
@@ -11,6 +11,7 @@
 
 	"sumacloft/internal/control/configstate"
 	"sumacloft/internal/control/registry"
+	"sumacloft/internal/responseguard"
 )
 
 // Workers receives heartbeats and leave requests of workers.
@@ -51,14 +52,14 @@
 	mux.HandleFunc("POST /v1/Settings.Replace", orders.replace)
 	mux.HandleFunc("POST /v1/Settings.Change", orders.change)
 	mux.HandleFunc("GET /v1/Settings.Read", documents.get)
-	return mux
+	return responseguard.Handler(mux)
 }
 
 // beatHandler serves the heartbeats of workers.
 type beatHandler struct{ workers Workers }
 
 func (h *beatHandler) post(w http.ResponseWriter, request *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxBeatBytes))
+	body, err := io.ReadAll(responseguard.MaxBytesReader(w, request.Body, maxBeatBytes))
 	if err != nil {
 		fail(w, http.StatusBadRequest, "the heartbeat can't be read")
 		return
@@ -108,7 +109,7 @@
 		fail(w, http.StatusBadRequest, "X-Built-On: name the version that the order builds on")
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxOrderBytes))
+	body, err := io.ReadAll(responseguard.MaxBytesReader(w, request.Body, maxOrderBytes))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		fail(w, http.StatusRequestEntityTooLarge, "the order is larger than 8 MiB: send its parts by Settings.Change")
--- a/internal/core/decisions.go
+++ b/internal/core/decisions.go
@@ -9,17 +9,18 @@
 // reasonUndecided is the reason of requests that end without a decision of the scheduler.
 const reasonUndecided brain.Reason = "the router ended it: a fault, its last call, or no further attempt was allowed"
 
-// Decisions counts the unsuccessful final answers by reason, as clients get them.
+// Decisions counts the unsuccessful final answers by reason, as clients get them, and the requests without an answer.
 type Decisions struct {
-	Refused map[brain.Reason]uint64 // a retry is harmless
-	Failed  map[brain.Reason]uint64 // no promise: the request may have run
+	Abandoned uint64                  // the client left before its answer began
+	Refused   map[brain.Reason]uint64 // a retry is harmless
+	Failed    map[brain.Reason]uint64 // no promise: the request may have run
 }
 
 // Decisions returns the counts since the core was created.
 func (c *Core) Decisions() Decisions {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Decisions{Refused: maps.Clone(c.decisions.Refused), Failed: maps.Clone(c.decisions.Failed)}
+	return Decisions{Abandoned: c.decisions.Abandoned, Refused: maps.Clone(c.decisions.Refused), Failed: maps.Clone(c.decisions.Failed)}
 }
 
 // count adds a final answer. The core's lock is held.
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -46,8 +46,8 @@
 	stream Stream
 }
 
-// Do serves one request from its arrival to its final answer: it carries out what the scheduler decides. ctx ends
-// when the client has left.
+// Do serves one request from its arrival to its final answer: it carries out what the scheduler decides. ctx is cancelled
+// when the client has left; only then may the client get no answer. It may also have a deadline, which ends the answer.
 func (c *Core) Do(ctx context.Context, job Job, client Client) {
 	r := c.arrive(job)
 	defer c.detach(r)
@@ -65,7 +65,7 @@
 			client.Fail()
 			return
 		case nil:
-			c.deliver(brain.ClientGone{Request: r.id})
+			c.abandon(ctx, r)
 			return
 		}
 	}
@@ -91,7 +91,8 @@
 const overdueAfter = 25 * time.Millisecond
 
 // next waits for the next inbox entry. It returns nil if the client has left. If the scheduler has not decided by the
-// deadline, which only a fault of its own can cause, the request fails here, since an answer is owed.
+// deadline, the request fails here, since an answer is owed. Only a fault of the scheduler or a pause of this process can
+// cause that. A context that ends by its own deadline does not mean that the client has left.
 func (c *Core) next(ctx context.Context, r *request) any {
 	overdue := time.NewTimer(time.Until(r.deadline) + overdueAfter)
 	defer overdue.Stop()
@@ -107,13 +108,26 @@
 		select {
 		case <-r.wake:
 		case <-ctx.Done():
-			return nil
+			if errors.Is(ctx.Err(), context.Canceled) {
+				return nil
+			}
+			c.overdue(r) // the answer is in the inbox now
+			ctx = context.Background()
 		case <-overdue.C:
 			c.overdue(r)
 		}
 	}
 }
 
+// abandon ends a request whose client has left.
+func (c *Core) abandon(ctx context.Context, r *request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decisions.Abandoned++
+	c.log.WithField("request", r.id).WithField("decided", r.decided).WithError(context.Cause(ctx)).Debug("the client left before its answer")
+	c.handle(brain.ClientGone{Request: r.id})
+}
+
 func (c *Core) overdue(r *request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/downstream/body.go
+++ b/internal/downstream/body.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"sumacloft/internal/responseguard"
 )
 
 // MaxBody bounds the body of a request.
@@ -87,5 +89,5 @@
 // linger has the connection closed after the answer, without waiting for the rest of the body, but such that the
 // client can still read why: net/http does so once a limited reader finds a body too long.
 func linger(w http.ResponseWriter) {
-	_, _ = io.ReadAll(http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0)) // its error is the point
+	_, _ = io.ReadAll(responseguard.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0)) // its error is the point
 }
--- a/internal/downstream/guard.go
+++ b/internal/downstream/guard.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"sumacloft/internal/responseguard"
 )
 
 const (
@@ -52,7 +54,7 @@
 
 // Server is net/http's, on connections of this guard.
 func (g *Guard) Server(front http.Handler, complaints *log.Logger) *http.Server {
-	return &http.Server{Handler: check(front), ReadHeaderTimeout: headTime, IdleTimeout: idleTime,
+	return &http.Server{Handler: responseguard.Handler(check(front)), ReadHeaderTimeout: headTime, IdleTimeout: idleTime,
 		MaxHeaderBytes: maxHead, ErrorLog: complaints,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ConnState: func(c net.Conn, state http.ConnState) {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -74,7 +74,9 @@
 	if req.URL.Path == healthURL {
 		if f.part(w); f.leaving() {
 			http.Error(w, "not serving", http.StatusServiceUnavailable)
+			return
 		}
+		w.WriteHeader(http.StatusOK)
 		return
 	}
 	if f.tooLate() {
@@ -266,12 +268,7 @@
 
 // Pass writes events as they came, at once.
 func (c *client) Pass(events []byte) error {
-	if !c.started {
-		c.started = true
-		c.front.part(c.w)
-		c.w.Header().Set("Content-Type", "text/event-stream")
-		c.w.WriteHeader(http.StatusOK)
-	}
+	c.start()
 	if err := c.rc.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
 		return err
 	}
@@ -281,8 +278,22 @@
 	return c.rc.Flush()
 }
 
+// start writes the head of the answer, once.
+func (c *client) start() {
+	if c.started {
+		return
+	}
+	c.started = true
+	c.front.part(c.w)
+	c.w.Header().Set("Content-Type", "text/event-stream")
+	c.w.WriteHeader(http.StatusOK)
+}
+
 // Finish leaves the last chunk to the server.
-func (c *client) Finish() { _ = c.rc.SetWriteDeadline(time.Time{}) } // a connection gone by now is seen by the server
+func (c *client) Finish() {
+	c.start()                              // an answer may have no events
+	_ = c.rc.SetWriteDeadline(time.Time{}) // a connection gone by now is seen by the server
+}
 
 // Break has the connection closed without the last chunk.
 func (c *client) Break() { c.broken = true }
--- a/internal/proxy/bounds/bounds.go
+++ b/internal/proxy/bounds/bounds.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sumacloft/internal/opconf"
+	"sumacloft/internal/responseguard"
 )
 
 const (
@@ -66,7 +67,7 @@
 // Server returns an HTTP server for connections of this limiter's listeners.
 func (l *Limiter) Server(handler http.Handler, errorLog *log.Logger) *http.Server {
 	return &http.Server{
-		Handler:        handler,
+		Handler:        responseguard.Handler(handler),
 		MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:       errorLog,
 		ConnState: func(conn net.Conn, state http.ConnState) {
--- a/internal/proxy/front/body.go
+++ b/internal/proxy/front/body.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sumacloft/internal/opconf"
+	"sumacloft/internal/responseguard"
 )
 
 // lingerTimeout is how long the input of a refused client is still read, so that the client can read the answer.
@@ -29,7 +30,7 @@
 		deadline: deadline,
 	})
 	if limit > 0 {
-		reader = http.MaxBytesReader(w, io.NopCloser(reader), limit)
+		reader = responseguard.MaxBytesReader(w, io.NopCloser(reader), limit)
 	}
 	if request.ContentLength > 0 {
 		body := make([]byte, request.ContentLength)
--- a/internal/proxy/front/front.go
+++ b/internal/proxy/front/front.go
@@ -103,6 +103,10 @@
 	service.Do(ctx, answering, job)
 	job.Close()
 	answering.resume(ctx, service)
+	if answering.broken && !answering.headWritten && request.Context().Err() == nil {
+		answering.answerUnclear(true, nil) // the worker's answer broke, or the time ended, before anything was passed on
+		return
+	}
 	if answering.broken {
 		panic(http.ErrAbortHandler) // the server closes the connection without the end of the answer
 	}
--- a/internal/proxy/lane/allowance.go
+++ b/internal/proxy/lane/allowance.go
@@ -56,6 +56,7 @@
 const (
 	Refused      Kind = "refused"     // the client may retry
 	Failed       Kind = "failed"      // the answer does not promise that a retry is safe
+	Abandoned    Kind = "abandoned"   // the client left before its answer began
 	ExtraAttempt Kind = "further"     // the request was sent to a worker again
 	ExtraDenied  Kind = "not allowed" // the retry budget denied an extra attempt
 )
@@ -84,6 +85,9 @@
 }
 
 func coreDecisions(counted core.Decisions) (all []Decision) {
+	if counted.Abandoned > 0 {
+		all = append(all, Decision{Kind: Abandoned, Reason: "the client left", Count: counted.Abandoned})
+	}
 	for reason, count := range counted.Refused {
 		all = append(all, Decision{Kind: Refused, Reason: string(reason), Count: count})
 	}
--- a/internal/proxy/run/run.go
+++ b/internal/proxy/run/run.go
@@ -28,6 +28,7 @@
 	"sumacloft/internal/proxy/front"
 	"sumacloft/internal/proxy/hints"
 	"sumacloft/internal/proxy/lane"
+	"sumacloft/internal/responseguard"
 	"sumacloft/internal/trial"
 	"sumacloft/internal/upstream"
 )
@@ -123,7 +124,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/ready", p.serveReady)
-	health := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	health := &http.Server{Handler: responseguard.Handler(mux), ReadHeaderTimeout: headerTimeout}
 	if err := p.serve(health, p.settings.ListenOn.Ready, unbounded); err != nil {
 		return err
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -99,3 +100,26 @@
 	t.Helper()
 	require.Eventually(t, is, within, time.Millisecond, what)
 }
+
+// HalfClosed sends a request, closes the sending side of the connection and returns all that comes back until its end.
+func HalfClosed(t testing.TB, address, request string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second)) // a connection that failed already fails the read too
+	_, err = io.WriteString(conn, request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	received, err := io.ReadAll(conn)
+	if err != nil && !errors.Is(err, syscall.ECONNRESET) {
+		t.Fatal(err)
+	}
+	return string(received)
+}
