Control: a worker's end is acknowledged once it is on disks and at routers

Cause: acknowledged when a majority had it in memory; the save (every 500 ms) and the batched push (up to 25 ms) came later. Evidence: a scratch copy's record of one run: the second end was in no push, no save and at no router; three members restored it as up. Change: members answer a durable push once their registry is on disk; propagate waits for a majority of them and for a router of each zone.

--- a/internal/control/member/faults.go
+++ b/internal/control/member/faults.go
@@ -19,6 +19,10 @@
 	AcknowledgeAlone bool
 	// AcknowledgeByTwo acknowledges it once one other member has it, regardless of the size of a majority.
 	AcknowledgeByTwo bool
+	// AcknowledgeUnsaved acknowledges it before it is on any disk.
+	AcknowledgeUnsaved bool
+	// AcknowledgeUndelivered acknowledges it before any router has it.
+	AcknowledgeUndelivered bool
 	// IgnoreAuthority treats the member as always in contact with a leader and does not try routers that are considered down.
 	IgnoreAuthority bool
 	// LeaveAtOnce stops a member that is shutting down without waiting for the others.
--- a/internal/control/member/heartbeats.go
+++ b/internal/control/member/heartbeats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"sumacloft/internal/control/registry"
 	"sumacloft/internal/mesh/replica"
@@ -37,33 +38,51 @@
 	return nil
 }
 
-// propagate publishes a change of a worker to the fleet. The leave of a worker is replicated to a majority of the control
-// members before it is acknowledged. If a minority of them is then partitioned or lost, a member that routers can reach still
-// has it.
+// propagate publishes a change of a worker to the fleet. The leave of a worker is acknowledged only once it is on the disks of
+// a majority of the control members and routers of each zone have it. If a minority of the members is then partitioned or lost,
+// or all processes are killed, a member that routers can reach still has it.
 func (m *Member) propagate(ctx context.Context, worker registry.Worker, changed bool) error {
 	entry := registry.EntryOf(worker)
-	if changed {
-		m.members.Node().Put(entry)
-	}
 	if worker.State == registry.Up || m.isConfirmed(worker) {
+		if changed {
+			m.members.Node().Put(entry)
+		}
 		return nil
 	}
-	required := m.members.OthersForMajority(m.voters())
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	delivered := m.members.Publish(entry)
+	required := m.members.Majority(m.voters())
 	switch {
 	case m.faults.AcknowledgeAlone:
-		required = 0
-	case m.faults.AcknowledgeByTwo:
 		required = 1
+	case m.faults.AcknowledgeByTwo:
+		required = 2
 	}
-	if !m.members.Confirm(ctx, []replica.Entry{entry}, required, confirmTimeout) {
-		return Error.New("too few other control members hear of worker %s's end: tell another one", worker.ID)
+	if !m.members.Confirm(ctx, []replica.Entry{entry}, m.persistWorkers, required) {
+		return Error.New("too few control members have worker %s's end on disk: tell another one", worker.ID)
 	}
+	handedOver := m.faults.AcknowledgeUndelivered || m.awaitDelivery(ctx, delivered)
+	m.log.Info().Str("worker", worker.ID).Stringer("state", worker.State).Int("disks", required).Bool("routers", handedOver).
+		Int64("took_ms", time.Since(started).Milliseconds()).Msg("end of a worker acknowledged")
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.confirmed[worker.ID] = worker.State
 	return nil
 }
 
+// awaitDelivery waits until routers have a change, or until the context ends. Routers that can't be reached in this time are
+// out of touch, or receive the change from a control member: it is on the disks of a majority.
+func (m *Member) awaitDelivery(ctx context.Context, delivered <-chan struct{}) bool {
+	select {
+	case <-delivered:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (m *Member) isConfirmed(worker registry.Worker) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -40,7 +40,7 @@
 	lapseInterval = 500 * time.Millisecond
 	// maxMissedBeats is the number of heartbeats that a worker may miss before its registration lapses.
 	maxMissedBeats = 4
-	// confirmTimeout bounds the wait for other control members before a leave request is acknowledged.
+	// confirmTimeout bounds the wait for disks and routers before a leave request is acknowledged.
 	confirmTimeout = 400 * time.Millisecond
 	// leaderlessTimeout is how long a member without a leader still acknowledges heartbeats. After that it records them but
 	// returns an error, so that the workers try another member. Otherwise members on the other side of a partition would
@@ -73,11 +73,12 @@
 	faults       Faults
 	views        views // latest phase balances, for status reports
 
-	mu            sync.Mutex
-	registry      *registry.Registry
-	savedRevision uint64                    // revision of the registry view saved on disk
-	confirmed     map[string]registry.State // states of leaving workers that a majority of the members has
-	pastOrders    *tombstone.Tracker        // tombstones of orders to unknown workers
+	saves *registrySaves
+
+	mu         sync.Mutex
+	registry   *registry.Registry
+	confirmed  map[string]registry.State // states of leaving workers that a majority of the members has on disk
+	pastOrders *tombstone.Tracker        // tombstones of orders to unknown workers
 }
 
 // Disk is the storage of a member's partitions.
@@ -90,6 +91,7 @@
 func New(settings *boot.Settings, transport network.Network, disk Disk, log zerolog.Logger) *Member {
 	m := &Member{settings: settings, network: transport, disk: disk, log: log, client: rpc.NewClient(transport), startedAt: time.Now()}
 	m.confirmed = map[string]registry.State{}
+	m.saves = newRegistrySaves()
 	m.address = membership.InsideAddress(settings.IP, settings.InsidePorts, membership.PortControl)
 	m.pastOrders = tombstone.New()
 	m.registry = registry.New(registry.Config{Self: settings.Node, HeartbeatTimeout: maxMissedBeats * settings.HeartbeatInterval})
@@ -110,6 +112,7 @@
 		HasLeader: func() bool { return m.authority() == message.LeaderBacked },
 	})
 	m.members.Node().SetAuthority(m.authority)
+	m.members.Node().SetPersist(m.persistWorkers)
 	return m
 }
 
@@ -229,6 +232,7 @@
 	hostContext, stop := context.WithCancel(context.WithoutCancel(ctx))
 	m.stopHost = stop
 	go m.host.Run(hostContext) // keeps replicating until Close
+	go m.runSaves(hostContext)
 	m.members.Join(ctx)
 	m.members.Announce()
 	go m.runLapses(ctx)
@@ -296,12 +300,9 @@
 	m.members.Node().Put(entries...)
 }
 
-// runLapses periodically marks silent workers as lapsed, removes expired ones and saves the registry.
+// runLapses periodically marks silent workers as lapsed and removes expired ones.
 func (m *Member) runLapses(ctx context.Context) {
-	periodic.Run(ctx, lapseInterval, func() {
-		m.lapse()
-		m.saveRegistry()
-	})
+	periodic.Run(ctx, lapseInterval, m.lapse)
 }
 
 func (m *Member) lapse() {
--- a/internal/control/partition/disk.go
+++ b/internal/control/partition/disk.go
@@ -20,7 +20,7 @@
 	kindCompacted                         // consensus.Snapshot, replaces the log up to its index
 	kindEntry                             // consensus.Entry, replaces all entries from its index on
 	kindCommitted                         // consensus.Index, the highest known commit index
-	kindNote                              // []byte, see Host.SetNote
+	kindNote                              // []byte, see Host.SaveNote
 )
 
 // identityGroup is the group number of the identity and note records. No partition has this number.
@@ -189,9 +189,9 @@
 	w.enqueue(batch{records: []disklog.Record{newRecord(number, kindCommitted, index)}, done: func() {}})
 }
 
-// writeNote queues the host's note.
-func (w *writer) writeNote(note []byte) {
-	w.enqueue(batch{records: []disklog.Record{newRecord(identityGroup, kindNote, note)}, done: func() {}})
+// writeNote queues the host's note. done is called once it is on disk.
+func (w *writer) writeNote(note []byte, done func()) {
+	w.enqueue(batch{records: []disklog.Record{newRecord(identityGroup, kindNote, note)}, done: done})
 }
 
 func (w *writer) enqueue(b batch) {
--- a/internal/control/partition/host.go
+++ b/internal/control/partition/host.go
@@ -223,12 +223,6 @@
 	return nil
 }
 
-// Note returns the note that was on disk at the start. See SetNote.
-func (h *Host) Note() []byte { return h.writer.initialNote }
-
-// SetNote stores a note on disk beside the partitions. It does not wait for the write.
-func (h *Host) SetNote(note []byte) { h.writer.writeNote(note) }
-
 func (h *Host) now() time.Duration { return time.Since(h.startedAt) }
 
 // post queues an event for the host's goroutine. It does nothing after Run has returned.
--- a/internal/mesh/membership/confirm.go
+++ b/internal/mesh/membership/confirm.go
@@ -2,22 +2,21 @@
 
 import (
 	"context"
-	"time"
 
+	"sumacloft/internal/mesh/node"
 	"sumacloft/internal/mesh/replica"
 )
 
-// Confirm pushes entries to the other control members and waits until the wanted number of them has acknowledged, for at most
-// limit. It reports whether they have.
-func (m *Membership) Confirm(ctx context.Context, entries []replica.Entry, wanted int, limit time.Duration) bool {
+// Confirm has entries stored on the disks of this control member and the others, and waits until the wanted number of them
+// has confirmed. persist stores them on this member's own disk. It reports whether they have.
+func (m *Membership) Confirm(ctx context.Context, entries []replica.Entry, persist node.Persist, wanted int) bool {
 	others := m.otherControls()
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	results := make(chan error, len(others))
+	results := make(chan error, len(others)+1)
+	go func() { results <- persist(ctx, entries) }()
 	for _, member := range others {
-		go func() { results <- m.node.Push(ctx, member.Address, entries) }()
+		go func() { results <- m.node.PushDurably(ctx, member.Address, entries) }()
 	}
-	for range others {
+	for range cap(results) {
 		if wanted <= 0 {
 			return true
 		}
@@ -28,8 +27,8 @@
 	return wanted <= 0
 }
 
-// OthersForMajority is how many other control members form a majority together with this one. The majority is that of the
-// live control members or of the wanted voters, whichever are more.
-func (m *Membership) OthersForMajority(voters int) int {
-	return max(len(m.otherControls())+1, voters) / 2
+// Majority is how many control members form a majority: of the live control members or of the wanted voters, whichever are
+// more.
+func (m *Membership) Majority(voters int) int {
+	return max(len(m.otherControls())+1, voters)/2 + 1
 }
--- a/internal/mesh/membership/membership.go
+++ b/internal/mesh/membership/membership.go
@@ -294,8 +294,11 @@
 	return others
 }
 
-func (m *Membership) push(address string, entries []replica.Entry) {
-	if err := m.node.Push(context.Background(), address, entries); err != nil {
+// push sends entries to a router and logs a failure.
+func (m *Membership) push(address string, entries []replica.Entry) error {
+	err := m.node.Push(context.Background(), address, entries)
+	if err != nil {
 		m.config.Log.Info().Str("peer", address).Err(err).Msg("push failed")
 	}
+	return err
 }
--- a/internal/mesh/membership/spread.go
+++ b/internal/mesh/membership/spread.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"sync"
 	"time"
 
 	"sumacloft/internal/mesh/replica"
@@ -20,12 +21,31 @@
 	sources map[string]struct{}      // the routers that sent them; "" for this router
 	due     bool                     // a push is scheduled
 	last    time.Duration            // time of the last push
+
+	deliveries []chan<- struct{} // closed once routers have the batch
+}
+
+// Publish merges this router's own entries and forwards them like other changes. The channel is closed once a router of
+// each zone has acknowledged them, or none of those to which they were pushed can be reached.
+func (m *Membership) Publish(entries ...replica.Entry) (delivered <-chan struct{}) {
+	m.node.Accept(entries...)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	done := make(chan struct{})
+	m.pending.deliveries = append(m.pending.deliveries, done)
+	m.enqueueLocked(entries, "")
+	return done
 }
 
 // enqueue adds changes to the batch and schedules its push, at once if none was made within spreadInterval.
 func (m *Membership) enqueue(changed []replica.Entry, from string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.enqueueLocked(changed, from)
+}
+
+// enqueueLocked is enqueue for callers that hold the lock.
+func (m *Membership) enqueueLocked(changed []replica.Entry, from string) {
 	if m.pending.entries == nil {
 		m.pending.entries = map[string]replica.Entry{}
 		m.pending.sources = map[string]struct{}{}
@@ -58,7 +78,11 @@
 	for _, entry := range pending.entries {
 		changed = append(changed, entry)
 	}
-	m.spread(changed, pending.sources)
+	delivered := m.spread(changed, pending.sources)
+	delivered.Wait()
+	for _, done := range pending.deliveries {
+		close(done)
+	}
 }
 
 const (
@@ -70,8 +94,10 @@
 
 // spread pushes changes to a few edge routers of the own zone. This router's own changes also go to a few of each other zone
 // and, from a control member, to all other control members. Changes thus cross between zones a few times, not once for each
-// router that receives them. If all changes come from a single router, it is left out.
-func (m *Membership) spread(changed []replica.Entry, sources map[string]struct{}) {
+// router that receives them. If all changes come from a single router, it is left out. The returned group waits until a router
+// of each zone has the changes, or none of those chosen there can be reached.
+func (m *Membership) spread(changed []replica.Entry, sources map[string]struct{}) (delivered *sync.WaitGroup) {
+	delivered = &sync.WaitGroup{}
 	snapshot, _ := m.node.Snapshot()
 	zones, addresses := byZone(m.node.Peers(topic.Routers))
 	var exclude map[string]struct{}
@@ -86,15 +112,31 @@
 		}
 		seed := fnv.New64a()
 		_, _ = fmt.Fprintf(seed, "%s/%d/%s", m.config.Self.Node, snapshot.Revision(), zone) // never fails
+		var chosen []string
 		for _, name := range ring.Spread(seed.Sum64(), m.config.Self.Node, names, count, exclude) {
-			go m.push(addresses[name], changed)
+			chosen = append(chosen, addresses[name])
 		}
+		delivered.Go(func() { m.pushToAny(chosen, changed) })
 	}
 	if m.config.Prefix != topic.Controls || !own {
-		return
+		return delivered
 	}
 	for _, member := range m.otherControls() {
-		go m.push(member.Address, changed)
+		go func() { _ = m.push(member.Address, changed) }() // the copies are compared later
+	}
+	return delivered
+}
+
+// pushToAny pushes entries to all addresses and returns once one of them has acknowledged or all have failed.
+func (m *Membership) pushToAny(addresses []string, entries []replica.Entry) {
+	results := make(chan error, len(addresses))
+	for _, address := range addresses {
+		go func() { results <- m.push(address, entries) }()
+	}
+	for range addresses {
+		if <-results == nil {
+			return
+		}
 	}
 }
 
--- a/internal/mesh/message/message.go
+++ b/internal/mesh/message/message.go
@@ -38,12 +38,14 @@
 	Digest   *replica.Digest      `cbor:"3,keyasint,omitempty"`
 	Held     replica.Fingerprints `cbor:"4,keyasint,omitempty"`
 	Repaired bool                 `cbor:"5,keyasint,omitempty"` // the entries were requested after a comparison of copies
+	Durable  bool                 `cbor:"6,keyasint,omitempty"` // respond once the entries are on disk
 }
 
 // SyncAnswer holds the entries that the caller lacks and the fingerprints of those that it should send.
 type SyncAnswer struct {
 	Entries []replica.Entry      `cbor:"1,keyasint,omitempty"`
 	Wanted  replica.Fingerprints `cbor:"2,keyasint,omitempty"` // entries that the caller has and the receiver lacks
+	Durable bool                 `cbor:"3,keyasint,omitempty"` // the received entries are on the receiver's disk
 }
 
 // The calls that every router serves on its first internal port.
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
 
 	"sumacloft/internal/mesh/message"
 	"sumacloft/internal/mesh/replica"
@@ -34,6 +35,7 @@
 	onChange      func(changed []replica.Entry, from string, widelyKnown bool)
 	onHeartbeat   func(beat message.Beat)
 	authority     func() message.Authority
+	persist       Persist
 	snapshot      replica.Snapshot
 	peers         map[string]*peers // by prefix
 	firstExchange chan struct{}     // a semaphore of size 1, held by the first exchange of an empty copy
@@ -52,6 +54,13 @@
 // SetAuthority sets the function that provides the authority in heartbeat responses. Call it before Handle.
 func (n *Node) SetAuthority(authority func() message.Authority) { n.authority = authority }
 
+// Persist stores entries on disk. It returns once they are there, and fails if the context ends first.
+type Persist func(ctx context.Context, entries []replica.Entry) error
+
+// SetPersist sets the function that stores entries for peers that ask for it. Call it before Handle. Without it nothing is
+// stored.
+func (n *Node) SetPersist(persist Persist) { n.persist = persist }
+
 // Handle serves the node's calls on the mux.
 func (n *Node) Handle(mux *http.ServeMux) {
 	message.CallBeat.Handle(mux, n.beat)
@@ -61,6 +70,9 @@
 // Put merges this router's own entries.
 func (n *Node) Put(entries ...replica.Entry) { n.merge(entries, "", false) }
 
+// Accept merges this router's own entries without reporting them as a change: the caller forwards them.
+func (n *Node) Accept(entries ...replica.Entry) { n.accept(entries) }
+
 // Receive merges entries received from a peer.
 func (n *Node) Receive(from string, entries ...replica.Entry) { n.merge(entries, from, false) }
 
@@ -132,8 +144,12 @@
 }
 
 // sync merges the entries that a peer sends and, if the peer sent a digest, returns the entries that it lacks.
-func (n *Node) sync(_ context.Context, sync *message.Sync) (*message.SyncAnswer, error) {
+func (n *Node) sync(ctx context.Context, sync *message.Sync) (*message.SyncAnswer, error) {
 	n.merge(sync.Entries, sync.From, sync.Digest != nil || sync.Repaired)
+	if sync.Durable && n.persist != nil {
+		err := n.persist(ctx, sync.Entries)
+		return &message.SyncAnswer{Durable: err == nil}, err
+	}
 	if sync.Digest == nil {
 		return &message.SyncAnswer{}, nil
 	}
@@ -232,3 +248,17 @@
 	_, err := message.CallSync.Call(ctx, n.client, address, &message.Sync{From: n.name, Entries: entries})
 	return err
 }
+
+// errNotDurable reports a peer that did not store the entries on disk, such as one of an earlier release.
+var errNotDurable = errs.New("node: the peer has not stored the entries on disk; it may run an earlier release")
+
+// PushDurably sends entries to a peer and waits until they are on its disk.
+func (n *Node) PushDurably(ctx context.Context, address string, entries []replica.Entry) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := message.CallSync.Call(ctx, n.client, address, &message.Sync{From: n.name, Entries: entries, Durable: true})
+	if err == nil && !answer.Durable {
+		return errNotDurable
+	}
+	return err
+}
