Locks: a holding ends with the last time that was granted under it

Cause: a renewal, or a second Start of the holder, replaced the holding's time by one that ended sooner; its owner goes by its last good call. Change: a holding remembers, bounded, the grants that may end later. Model, histories and broken builds draw times for each call.

--- a/internal/control/coordination/ages.go
+++ b/internal/control/coordination/ages.go
@@ -1,6 +1,9 @@
 package coordination
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// driftShare is the part of a holding's time that is added to it, for clocks that run at different rates: they may differ by
@@ -19,11 +22,11 @@
 // Ages are how long ago a member applied what its state holds, by its own steady clock. Nothing of them is told to others: a
 // member counts in full from the moment at which it learned of something, which is never before its caller sent it.
 type Ages struct {
-	holdings map[string]age
+	holdings map[string][]age // of each grant that may be the last to end, the newest first
 	marks    map[string][]mark
 }
 
-// age is when a member applied a holding's grant or last renewal.
+// age is when a member applied a grant.
 type age struct {
 	sequence uint64
 	since    time.Duration
@@ -40,13 +43,13 @@
 const markInterval = time.Second
 
 // NewAges returns the ages of an empty state.
-func NewAges() *Ages { return &Ages{holdings: map[string]age{}, marks: map[string][]mark{}} }
+func NewAges() *Ages { return &Ages{holdings: map[string][]age{}, marks: map[string][]mark{}} }
 
 // Note takes what a command did, at the time of its application.
 func (a *Ages) Note(now time.Duration, state *State, outcome Outcome) {
 	if outcome.Held != "" {
 		if held, found := state.Holding(outcome.Held); found {
-			a.holdings[outcome.Held] = age{sequence: held.Sequence, since: now}
+			a.follow(now, outcome.Held, held)
 		}
 	}
 	if outcome.Put != "" {
@@ -68,7 +71,7 @@
 func (a *Ages) Restart(now time.Duration, state *State) {
 	*a = *NewAges()
 	state.Holdings(func(name string, held Holding) {
-		a.holdings[name] = age{sequence: held.Sequence, since: now}
+		a.follow(now, name, held)
 	})
 	for scope, group := range state.cells {
 		a.marks[scope] = []mark{{revision: group.Revision, begun: now, at: now}}
@@ -77,13 +80,36 @@
 
 // Left is how much of a holding's time is left, by this member's clock; negative after its end.
 func (a *Ages) Left(now time.Duration, name string, held Holding) time.Duration {
-	known, found := a.holdings[name]
-	if !found || known.sequence != held.Sequence {
-		known = age{sequence: held.Sequence, since: now}
-		a.holdings[name] = known
+	ages := a.follow(now, name, held)
+	place := 0
+	left := time.Duration(math.MinInt64)
+	held.Grants(func(grant Grant) {
+		length := grant.Length()
+		left = max(left, ages[place].since+length+length/driftShare+lapseMargin-now)
+		place++
+	})
+	return left
+}
+
+// follow keeps the ages of the grants under a holding and returns them in the order of Holding.Grants. A grant that was not
+// known before is counted from now on.
+func (a *Ages) follow(now time.Duration, name string, held Holding) []age {
+	known := a.holdings[name]
+	if len(known) == 1 && len(held.Earlier) == 0 && known[0].sequence == held.Sequence {
+		return known
 	}
-	length := held.Length()
-	return known.since + length + length/driftShare + lapseMargin - now
+	ages := make([]age, 0, 1+len(held.Earlier))
+	held.Grants(func(grant Grant) {
+		current := age{sequence: grant.Sequence, since: now}
+		for _, one := range known {
+			if one.sequence == grant.Sequence {
+				current = one
+			}
+		}
+		ages = append(ages, current)
+	})
+	a.holdings[name] = ages
+	return ages
 }
 
 // Lapsed is the sequence of a lock's holding by another than an owner whose time has run out. Held says that it has not.
--- a/internal/control/coordination/model_test.go
+++ b/internal/control/coordination/model_test.go
@@ -23,6 +23,7 @@
 const (
 	tickLength = 500 * time.Millisecond
 	holdTicks  = 2
+	shortTicks = 0 // of some calls: for less than a tick
 	lastTick   = 6
 	lockName   = "l"
 )
@@ -39,7 +40,10 @@
 }
 
 // budget is how often things may still happen.
-type budget struct{ Asks, Beats, Ends, Changes, Losses int }
+type budget struct {
+	Asks, Beats, Ends, Changes, Losses int
+	Shorts                             int // asks and renewals for less time than the others
+}
 
 // caller is one application.
 type caller struct {
@@ -96,9 +100,15 @@
 		if w.Left.Asks > 0 {
 			list = append(list, move{"ask", i})
 		}
+		if w.Left.Asks > 0 && w.Left.Shorts > 0 {
+			list = append(list, move{"ask for less", i})
+		}
 		if holds && w.Left.Beats > 0 {
 			list = append(list, move{"beat", i})
 		}
+		if holds && w.Left.Beats > 0 && w.Left.Shorts > 0 {
+			list = append(list, move{"beat for less", i})
+		}
 		if holds && w.Left.Ends > 0 {
 			list = append(list, move{"end", i})
 		}
@@ -153,15 +163,15 @@
 		next.applyAll(next.leader())
 	case "apply":
 		next.applyOne(step.at)
-	case "ask":
+	case "ask", "ask for less":
 		next.Left.Asks--
-		next.send(step.at, coordination.Call{Kind: coordination.StartLock}, faults)
-	case "beat":
+		next.send(step.at, coordination.Call{Kind: coordination.StartLock}, next.hold(step), faults)
+	case "beat", "beat for less":
 		next.Left.Beats--
-		next.send(step.at, coordination.Call{Kind: coordination.BeatLock, Fence: w.Callers[step.at].Fence}, faults)
+		next.send(step.at, coordination.Call{Kind: coordination.BeatLock, Fence: w.Callers[step.at].Fence}, next.hold(step), faults)
 	case "end":
 		next.Left.Ends--
-		next.send(step.at, coordination.Call{Kind: coordination.FinishLock, Fence: w.Callers[step.at].Fence}, faults)
+		next.send(step.at, coordination.Call{Kind: coordination.FinishLock, Fence: w.Callers[step.at].Fence}, holdTicks, faults)
 		next.Callers[step.at].Until = 0
 	default:
 		m := next.Messages[step.at]
@@ -175,8 +185,17 @@
 	return next, nil
 }
 
-func (w *world) send(who int, call coordination.Call, faults modelFaults) {
-	call.Name, call.Owner, call.HoldMS = lockName, fmt.Sprint("owner-", who), uint64((holdTicks * tickLength).Milliseconds())
+// hold takes the ticks for which a move asks from the budget.
+func (w *world) hold(step move) int {
+	if !strings.HasSuffix(step.kind, "for less") {
+		return holdTicks
+	}
+	w.Left.Shorts--
+	return shortTicks
+}
+
+func (w *world) send(who int, call coordination.Call, ticks int, faults modelFaults) {
+	call.Name, call.Owner, call.HoldMS = lockName, fmt.Sprint("owner-", who), uint64((time.Duration(ticks) * tickLength).Milliseconds())
 	w.look(message{Stage: "commit", Caller: who, Call: call, Sent: w.Tick, At: w.leader(), Seen: w.Callers[1-who].Fence}, faults)
 }
 
@@ -242,7 +261,7 @@
 		return nil
 	}
 	own, other := &w.Callers[m.Caller], w.Callers[1-m.Caller]
-	until := m.Sent + holdTicks
+	until := m.Sent + int(time.Duration(m.Call.HoldMS)*time.Millisecond/tickLength)
 	if m.Call.Kind == coordination.BeatLock {
 		if own.Until > w.Tick && own.Fence == m.Call.Fence {
 			own.Until = max(own.Until, until)
@@ -251,7 +270,7 @@
 		if m.Answer.Fence <= m.Seen {
 			return broken.New("fence %d to %d after %d to the other", m.Answer.Fence, m.Caller, m.Seen)
 		}
-		own.Fence, own.Until = m.Answer.Fence, until
+		own.Fence, own.Until = m.Answer.Fence, max(own.Until, until)
 	}
 	if own.Until > w.Tick && other.Until > w.Tick {
 		return broken.New("both hold the lock at tick %d, until %d and %d", w.Tick, own.Until, other.Until)
@@ -274,7 +293,7 @@
 
 // bytes tells worlds apart.
 func (w world) bytes() []byte {
-	b := []byte{byte(w.Tick), byte(w.Term), byte(w.Left.Asks), byte(w.Left.Beats), byte(w.Left.Ends), byte(w.Left.Changes), byte(w.Left.Losses)}
+	b := []byte{byte(w.Tick), byte(w.Term), byte(w.Left.Asks), byte(w.Left.Beats), byte(w.Left.Ends), byte(w.Left.Changes), byte(w.Left.Losses), byte(w.Left.Shorts)}
 	for _, c := range w.Callers {
 		b = append(b, byte(c.Fence), byte(c.Until))
 	}
@@ -292,7 +311,7 @@
 
 func (m message) bytes() []byte {
 	return []byte{m.Stage[0], byte(m.Caller), byte(m.Call.Kind), byte(m.Call.Fence), byte(m.Sent), byte(m.At), byte(m.Lapsed),
-		byte(m.Answer.Status), byte(m.Answer.Fence), byte(m.Seen)}
+		byte(m.Answer.Status), byte(m.Answer.Fence), byte(m.Seen), byte(m.Call.HoldMS >> 2)}
 }
 
 // statesOf bounds a search: a short one in CI, a long one with LAB_LONG.
@@ -309,6 +328,9 @@
 		"three ask, another leader":          {Asks: 3, Changes: 1},
 		"ends, a lost answer":                {Asks: 3, Ends: 1, Losses: 1},
 		"two changes of leader":              {Asks: 2, Changes: 2, Losses: 1},
+		"a renewal for less, a lost answer":  {Asks: 2, Beats: 1, Losses: 1, Shorts: 1},
+		"the holder asks again for less":     {Asks: 3, Losses: 1, Shorts: 1},
+		"two renewals, another leader":       {Asks: 2, Beats: 2, Shorts: 1, Changes: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -328,6 +350,8 @@
 		"renewals that are not logged":  {modelFaults{UnloggedBeats: true}, budget{Asks: 2, Beats: 2}},
 		"times of another's clock":      {modelFaults{SharedTimes: true}, budget{Asks: 2}},
 		"fences that are counted anew":  {modelFaults{State: coordination.Faults{FencePerLock: true}}, budget{Asks: 2, Ends: 1}},
+		"a renewal that shortens":       {modelFaults{State: coordination.Faults{ShortenHolds: true}}, budget{Asks: 2, Beats: 1, Shorts: 1}},
+		"a second ask that shortens":    {modelFaults{State: coordination.Faults{ShortenHolds: true}}, budget{Asks: 3, Shorts: 1}},
 		"a holder that keeps its fence": {modelFaults{State: coordination.Faults{KeepFence: true}}, budget{Asks: 3, Ends: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/control/coordination/state.go
+++ b/internal/control/coordination/state.go
@@ -17,6 +17,7 @@
 	GrantLapsed  bool // a lock goes to whoever says that some holding of it has lapsed, whichever it was
 	FencePerLock bool // fences are counted from 1 for each holding of a lock that is not remembered
 	ForgetPuts   bool // a put that comes again is not recognised
+	ShortenHolds bool // a grant for less time ends those before it
 	KeepFence    bool // the owner that asks again keeps its fence, so that a late Finish ends the later holding
 }
 
--- a/internal/control/coordination/state_test.go
+++ b/internal/control/coordination/state_test.go
@@ -195,3 +195,77 @@
 	s.c.Assert(s.call(Call{Kind: 77, Name: "l"}, 0).Status, qt.Equals, Unclear)
 	s.c.Assert(s.state.Restore([]byte("?")), qt.ErrorMatches, "coordination: a snapshot can't be read.*")
 }
+
+// Guards against a lock that is given to a second caller while the first still counts itself the holder: the answer to a
+// renewal for less time may be lost (docs/incidents/shortened-lock.md).
+func TestGrantForLessTimeDoesNotEndOneBefore(t *testing.T) {
+	const long, short = 5000, 500
+	for name, again := range map[string]Call{
+		"a renewal":    {Kind: BeatLock, Name: "l", Owner: "one", Fence: 1, HoldMS: short},
+		"a second ask": {Kind: StartLock, Name: "l", Owner: "one", HoldMS: short},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, ages := tell(t), NewAges()
+			apply := func(now time.Duration, call Call) {
+				s.c.Assert(s.call(call, 0).Status, qt.Equals, Done)
+				ages.Note(now, s.state, Outcome{Held: "l"})
+			}
+			heldFor := func(now time.Duration) bool {
+				_, held := ages.Lapsed(now, s.state, "l", "other")
+				return held
+			}
+			// Given a caller that has a lock for 5 s, when it is given it for half a second after the first second,
+			apply(0, Call{Kind: StartLock, Name: "l", Owner: "one", HoldMS: long})
+			apply(second, again)
+			// then the lock is held until the end of the 5 s, also by a member that restarts meanwhile,
+			s.c.Assert(heldFor(2*second), qt.IsTrue)
+			s.c.Assert(heldFor(5*second), qt.IsTrue)
+			s.c.Assert(heldFor(5*second+200*time.Millisecond), qt.IsFalse)
+			restored, restoredAges := New(), NewAges()
+			s.c.Assert(restored.Restore(s.state.Snapshot()), qt.IsNil)
+			restoredAges.Restart(3*second, restored)
+			_, held := restoredAges.Lapsed(7*second, restored, "l", "other")
+			s.c.Assert(held, qt.IsTrue)
+			// and until a renewal for more time has passed.
+			holding, _ := s.state.Holding("l")
+			apply(4*second, Call{Kind: BeatLock, Name: "l", Owner: "one", Fence: holding.Fence, HoldMS: long})
+			s.c.Assert(heldFor(9*second), qt.IsTrue)
+			s.c.Assert(heldFor(9*second+200*time.Millisecond), qt.IsFalse)
+			holding, _ = s.state.Holding("l")
+			s.c.Assert(holding.Earlier, qt.HasLen, 0)
+		})
+	}
+}
+
+// Whatever times a holding is granted and renewed for, it ends no sooner than any of them, and what is remembered is bounded.
+func TestHoldingOutlastsEachOfItsGrants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state, ages := New(), NewAges()
+		now, end, fence := time.Duration(0), time.Duration(0), uint64(0)
+		for index := uint64(1); index <= 40; index++ {
+			holdMS := rapid.Uint64Range(1, 4000).Draw(t, "hold")
+			call := Call{Kind: StartLock, Name: "l", Owner: "one", HoldMS: holdMS}
+			if fence != 0 && rapid.Bool().Draw(t, "renews") {
+				call.Kind, call.Fence = BeatLock, fence
+			}
+			entry, err := call.Encode(0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			outcome := state.Apply(index, entry)
+			ages.Note(now, state, outcome)
+			if call.Kind == StartLock {
+				fence = outcome.Fence
+			}
+			end = max(end, now+time.Duration(holdMS)*time.Millisecond)
+			holding, _ := state.Holding("l")
+			if left := ages.Left(now, "l", holding); now+left < end {
+				t.Fatalf("at %v the holding ends after %v, a grant at %v: %+v", now, left, end, holding)
+			}
+			if len(holding.Earlier) > maxEarlierGrants {
+				t.Fatalf("%d earlier grants are remembered", len(holding.Earlier))
+			}
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond
+		}
+	})
+}
--- a/internal/fleettest/coordination_test.go
+++ b/internal/fleettest/coordination_test.go
@@ -139,12 +139,15 @@
 	})
 }
 
+// anyHold draws how long a call asks for a lock: each call has its own time.
+func anyHold() time.Duration { return testHold / time.Duration(1+rand.IntN(4)) }
+
 // useLock has an application hold a lock again and again, renew it, end it, die with it or sleep past its time.
 func useLock(f *Fleet, a *Application, until time.Duration) {
 	for f.Now() < until {
 		time.Sleep(time.Duration(rand.IntN(150)) * time.Millisecond)
 		lock := fmt.Sprint("l", rand.IntN(2))
-		got := a.Start(f.anyControl(), lock, testHold)
+		got := a.Start(f.anyControl(), lock, anyHold())
 		if got.Status != http.StatusOK {
 			continue
 		}
@@ -153,7 +156,7 @@
 			if f.Now() >= a.notes.until(a, lock, got.Fence) {
 				break
 			}
-			a.Beat(f.anyControl(), lock, got.Fence, testHold)
+			a.Beat(f.anyControl(), lock, got.Fence, anyHold())
 		}
 		if rand.IntN(3) > 0 {
 			a.Finish(f.anyControl(), lock, got.Fence)
@@ -242,6 +245,7 @@
 		"grants on a lapse of any holding": {Coordination: coordination.Faults{GrantLapsed: true}},
 		"fences are counted anew":          {Coordination: coordination.Faults{FencePerLock: true}},
 		"puts that come again are new":     {Coordination: coordination.Faults{ForgetPuts: true}},
+		"renewals shorten holdings":        {Coordination: coordination.Faults{ShortenHolds: true}},
 	}, drawCoordination)
 }
 
