--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run demo demo-sites demo-fleet demo-outage lab lab-bad lab-work lab-outage lab-copies lab-joint lab-tuning lab-large search search-control halts measure check help
+.PHONY: build test test-packages test-fleet test-laboratory lint run demo demo-sites demo-fleet demo-outage lab lab-bad lab-work lab-outage lab-copies lab-joint lab-tuning lab-large search search-control halts measure check help
 
 help: ## this list
 	@sed -n 's/^\([a-z-]*\):.*## /\1\t/p' Makefile
@@ -6,10 +6,16 @@
 build: ## the router, its tools and the adapter, into bin/
 	mkdir -p bin && go build -o bin/ ./cmd/...
 
-test: ## all tests, with the race detector
+test: test-packages test-fleet test-laboratory ## all tests, with the race detector; with make -k all parts run also after one has failed
+
+test-packages:
 	go test -race -count=1 $$(go list ./... | grep -v -e /internal/lab$$ -e /internal/fleettest$$)
-	go test -count=1 ./internal/fleettest # the detector crashes with timers of several threads in one synctest bubble
-	go test -race -count=1 ./internal/lab # by itself: its fleets must not starve
+
+test-fleet: # the detector crashes with timers of several threads in one synctest bubble
+	go test -count=1 ./internal/fleettest
+
+test-laboratory: # by itself: its fleets must not starve
+	go test -race -count=1 ./internal/lab
 
 lint: ## format and vet
 	@unformatted=$$(gofmt -l .); [ -z "$$unformatted" ] || { echo "gofmt: $$unformatted"; exit 1; }
