--- a/cmd/fleetd/main.go
+++ b/cmd/fleetd/main.go
@@ -79,6 +79,7 @@
 		log.log.Warn().Stringer("without", settings.Trial).Msg("this is a trial: mechanisms are switched off")
 	}
 	log.watchSignal(os.Stderr)
+	signal.Ignore(syscall.SIGPIPE) // a process whose stderr nobody reads any more goes on
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	return &process{settings: settings, lines: log, ctx: ctx, stop: stop}, nil
 }
--- a/cmd/sumacloft/main.go
+++ b/cmd/sumacloft/main.go
@@ -81,6 +81,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	signal.Ignore(syscall.SIGPIPE)   // a router whose log nobody reads any more goes on
 	again := make(chan os.Signal, 1) // a reload that waits stands for all that came meanwhile
 	signal.Notify(again, syscall.SIGHUP)
 	start := onPlatform
