fleettest: comments and some names in the field's terms

Cause: the harness still had the earlier house style: 'serves net.Conn', 'tells whether', 'gives', names such as befall, obey, goOn, stir. Change: comments of 31 files, ten names; nothing that a test does or checks.

--- a/internal/fleettest/application.go
+++ b/internal/fleettest/application.go
@@ -45,7 +45,7 @@
 // text is an amount that is a text.
 func (r reply) text() string { return strings.Trim(string(r.Amount), `"`) }
 
-// clear tells whether the answer says what became of the call.
+// clear reports whether the answer says what became of the call.
 func (r reply) clear() bool {
 	return r.Status != 0 && r.Status < 500 && r.Status != http.StatusTooManyRequests
 }
@@ -90,7 +90,7 @@
 	return got
 }
 
-// Finish gives a lock back, once.
+// Finish releases a lock, once.
 func (a *Application) Finish(at *Control, lock string, fence uint64) reply {
 	a.notes.finished(a, lock, fence, a.fleet.Now())
 	return a.call(at, http.MethodPost, "/v1/Locks.Finish/"+lock, fmt.Sprintf(`{"owner":%q,"fence_number":%d}`, a.Owner, fence), applicationWait)
--- a/internal/fleettest/bounds_test.go
+++ b/internal/fleettest/bounds_test.go
@@ -21,7 +21,7 @@
 	orderPause = 50 * time.Millisecond
 )
 
-// losses are what may befall one control member.
+// losses are what may happen to one control member.
 var losses = map[string]func(f *Fleet, lost *Control){
 	"is killed":          func(_ *Fleet, lost *Control) { lost.Kill() },
 	"loses power":        func(_ *Fleet, lost *Control) { lost.PowerOff() },
@@ -33,7 +33,7 @@
 	"is heard by nobody": func(f *Fleet, lost *Control) { f.Mute(lost) },
 }
 
-// orders sends a configuration to one member until it is acknowledged, and gives how long that took.
+// orders sends a configuration to one member until it is acknowledged, and returns how long that took.
 func orders(f *Fleet, at *Control, builtOn uint64, document string) time.Duration {
 	f.t.Helper()
 	began := f.Now()
--- a/internal/fleettest/client.go
+++ b/internal/fleettest/client.go
@@ -127,7 +127,7 @@
 	}
 }
 
-// get gives the status of a plain question; 0: there was no answer.
+// get returns the status of a plain question; 0: there was no answer.
 func (c *Client) get(url string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/internal/fleettest/control.go
+++ b/internal/fleettest/control.go
@@ -13,7 +13,7 @@
 	"sumacloft/internal/status"
 )
 
-// segmentBytes is the size of the files on members' disks: small, so that stories come to the end of some.
+// segmentBytes is the size of the files on members' disks: small, so that scenarios come to the end of some.
 const segmentBytes = 256 << 10
 
 // Control is a machine of a control member.
@@ -115,7 +115,7 @@
 func (c *Control) Kill() {
 	c.process.Kill()
 	c.disk.with(func(d *memdisk) { d.Restart() })
-	c.disk.goOn()
+	c.disk.resumeSyncs()
 	c.cancel()
 }
 
@@ -123,11 +123,11 @@
 func (c *Control) PowerOff() {
 	c.machine.PowerOff()
 	c.disk.with(func(d *memdisk) { d.LosePower(rand.IntN) })
-	c.disk.goOn()
+	c.disk.resumeSyncs()
 	c.cancel()
 }
 
-// PowerOn gives the power back and starts the process.
+// PowerOn restores the power and starts the process.
 func (c *Control) PowerOn() {
 	c.machine.PowerOn()
 	c.Start(false)
@@ -192,7 +192,7 @@
 	return "", false
 }
 
-// Leader waits until one of the members that answer leads a partition, and gives it.
+// Leader waits until one of the members that answer leads a partition, and returns it.
 func (f *Fleet) Leader(number uint32) *Control {
 	f.t.Helper()
 	var leader *Control
--- a/internal/fleettest/coordination_test.go
+++ b/internal/fleettest/coordination_test.go
@@ -201,7 +201,7 @@
 	}
 }
 
-// drawCoordination has applications go on while troubles come over the control members, and gives what was broken.
+// drawCoordination has applications go on while troubles come over the control members, and returns what was broken.
 func drawCoordination(t *testing.T, faults member.Faults) (fault string) {
 	runAlone(t, coordinationPlan(faults), func(c *qt.C, f *Fleet) {
 		notes := newCoordinationNotes()
@@ -213,7 +213,7 @@
 			running.Go(func() { useKeys(f, f.newApplication(fmt.Sprint("k", i), notes), end) })
 		}
 		running.Go(func() { useWatch(f, f.newApplication("w", notes), end) })
-		names := befall(f, end-4*time.Second)
+		names := injectTroubles(f, end-4*time.Second)
 		running.Wait()
 		last := f.newApplication("last", notes)
 		for i := range 3 {
--- a/internal/fleettest/cutoff_test.go
+++ b/internal/fleettest/cutoff_test.go
@@ -26,7 +26,7 @@
 	restart bool // they are started again meanwhile
 }
 
-// String serves fmt.Stringer.
+// String implements fmt.Stringer.
 func (k cutOff) String() string {
 	text := fmt.Sprintf("%d of %d", k.members, 2*k.members+1)
 	for _, word := range []struct {
@@ -83,7 +83,7 @@
 	return lost, stay
 }
 
-// cut cuts the members off and gives what heals it.
+// cut cuts the members off and returns what heals it.
 func (k cutOff) cut(f *Fleet, lost, stay []*Control) (heal func()) {
 	var others []string
 	for _, control := range stay {
@@ -117,7 +117,7 @@
 }
 
 // cutOffStory cuts members off for a while, in which operators order and read on both sides, workers end and edges start
-// anew. It gives what was wrong: answers that no order of the calls explains, a worker whose end was acknowledged and that
+// anew. It returns what was wrong: answers that no order of the calls explains, a worker whose end was acknowledged and that
 // got requests still, an edge that works by an old configuration.
 func cutOffStory(t *testing.T, kind cutOff, faults Faults) (wrong string) {
 	plan := Plan{Controls: 2*kind.members + 1, Edges: 3, Zones: []string{"north", "south"}, Faults: faults}
@@ -157,7 +157,7 @@
 	return wrong
 }
 
-// orderOn has an order taken by one of the members that stay, and gives its version.
+// orderOn has an order taken by one of the members that stay, and returns its version.
 func (h *history) orderOn(stay []*Control, version uint64) uint64 {
 	order := markedOrder{builtOn: version, version: version + 2, mark: "stay", whole: true}
 	for turn := range 40 {
@@ -174,7 +174,7 @@
 	return 0
 }
 
-// works tells whether an edge works by a version that orderOn made, shortly after it was made.
+// works reports whether an edge works by a version that orderOn made, shortly after it was made.
 func (f *Fleet) works(edge *Edge, version uint64) bool {
 	for end := f.Now() + settingsWithin; f.Now() < end; time.Sleep(checkInterval) {
 		if f.Client.Ask(edge, fmt.Sprintf("/r%d/x", version)).Status == http.StatusOK {
@@ -184,7 +184,7 @@
 	return false
 }
 
-// endAt has a worker say to one member that it ends. It gives what was wrong: requests that came all the same after an
+// endAt has a worker say to one member that it ends. It returns what was wrong: requests that came all the same after an
 // acknowledgement.
 func (w *Worker) endAt(at *Control) string {
 	f := w.fleet
--- a/internal/fleettest/disk.go
+++ b/internal/fleettest/disk.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// goOn ends a stall.
-func (d *disk) goOn() {
+// resumeSyncs ends a stall.
+func (d *disk) resumeSyncs() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.stalled != nil {
@@ -65,7 +65,7 @@
 
 type folder struct{ disk *disk }
 
-// Open serves disklog.FileSystem.
+// Open implements disklog.FileSystem.
 func (f folder) Open(name string) (disklog.File, error) {
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
@@ -76,7 +76,7 @@
 	return file{disk: f.disk, held: opened}, nil
 }
 
-// SyncFolder serves disklog.FileSystem.
+// SyncFolder implements disklog.FileSystem.
 func (f folder) SyncFolder() error {
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
@@ -88,35 +88,35 @@
 	held disklog.File
 }
 
-// ReadAt serves disklog.File.
+// ReadAt implements disklog.File.
 func (f file) ReadAt(data []byte, offset int64) (int, error) {
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
 	return f.held.ReadAt(data, offset)
 }
 
-// WriteAt serves disklog.File.
+// WriteAt implements disklog.File.
 func (f file) WriteAt(data []byte, offset int64) (int, error) {
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
 	return f.held.WriteAt(data, offset)
 }
 
-// Truncate serves disklog.File.
+// Truncate implements disklog.File.
 func (f file) Truncate(size int64) error {
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
 	return f.held.Truncate(size)
 }
 
-// Size serves disklog.File.
+// Size implements disklog.File.
 func (f file) Size() (int64, error) {
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
 	return f.held.Size()
 }
 
-// Sync serves disklog.File.
+// Sync implements disklog.File.
 func (f file) Sync() error {
 	f.disk.wait()
 	f.disk.mu.Lock()
@@ -124,7 +124,7 @@
 	return f.held.Sync()
 }
 
-// Close serves disklog.File.
+// Close implements disklog.File.
 func (f file) Close() error {
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
--- a/internal/fleettest/edge.go
+++ b/internal/fleettest/edge.go
@@ -107,7 +107,7 @@
 // KillProxy ends the proxy at once.
 func (e *Edge) KillProxy() { e.proxy.kill() }
 
-// StopProxy tells the proxy to end, as SIGTERM does, and gives a channel that is closed at its end.
+// StopProxy tells the proxy to end, as SIGTERM does, and returns a channel that is closed at its end.
 func (e *Edge) StopProxy() <-chan struct{} {
 	e.proxy.cancel()
 	return e.proxy.ended
@@ -127,13 +127,13 @@
 	e.agent.cancel()
 }
 
-// PowerOn gives the power back and starts both processes.
+// PowerOn restores the power and starts both processes.
 func (e *Edge) PowerOn() {
 	e.machine.PowerOn()
 	e.Start()
 }
 
-// Ready tells whether the proxy says that it takes connections.
+// Ready reports whether the proxy says that it takes connections.
 func (e *Edge) Ready() bool {
 	status := e.fleet.Client.get(fmt.Sprintf("http://%s:%d/v1/ready", e.IP, readyPort))
 	return status == http.StatusOK
--- a/internal/fleettest/fault_test.go
+++ b/internal/fleettest/fault_test.go
@@ -34,7 +34,7 @@
 		// When that member is cut off from the other members and the edges, but not from the worker.
 		f.Cut(lost)
 		// Then the edges, which can reach the worker, go on sending it requests.
-		for _, answer := range keepAsking(f, 15*time.Second) {
+		for _, answer := range sendContinuously(f, 15*time.Second) {
 			c.Assert(answer.Status, qt.Equals, http.StatusOK, qt.Commentf("at %v", answer.End))
 		}
 	})
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -44,7 +44,7 @@
 	Faults   Faults
 }
 
-// Faults break a fleet's processes on purpose, to see that a story finds it.
+// Faults break a fleet's processes on purpose, to see that a scenario finds it.
 type Faults struct {
 	Agent  agent.Faults
 	Member member.Faults
@@ -71,7 +71,7 @@
 	ends    []func()           // what ends the processes
 }
 
-// Run tells a story of a fleet that has just been started for the first time. Stories are told side by side: between them
+// Run runs a scenario of a fleet that has just been started for the first time. Scenarios run side by side: between them
 // they share nothing.
 func Run(t *testing.T, plan Plan, story func(c *qt.C, f *Fleet)) {
 	t.Helper()
@@ -79,7 +79,7 @@
 	runAlone(t, plan, story)
 }
 
-// runAlone tells a story that the caller waits for.
+// runAlone runs a scenario that the caller waits for.
 func runAlone(t *testing.T, plan Plan, story func(c *qt.C, f *Fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -150,7 +150,7 @@
 	}
 }
 
-// PowerOn gives it back, and starts their processes.
+// PowerOn restores it, and starts their processes.
 func (f *Fleet) PowerOn() {
 	for _, control := range f.Controls {
 		control.PowerOn()
--- a/internal/fleettest/heartbeats_test.go
+++ b/internal/fleettest/heartbeats_test.go
@@ -12,13 +12,13 @@
 // its last answer as old, and a call that was under way.
 const notice = 4 * time.Second
 
-// acknowledges tells whether a control member acknowledges a heartbeat of the worker.
+// acknowledges reports whether a control member acknowledges a heartbeat of the worker.
 func (w *Worker) acknowledges(at *Control) bool {
 	_, acknowledged := w.sendBeat(w.fleet.t.Context(), at.Steering())
 	return acknowledged
 }
 
-// acknowledgedWorker gives a worker of a configured fleet, once all control members acknowledge its heartbeats.
+// acknowledgedWorker returns a worker of a configured fleet, once all control members acknowledge its heartbeats.
 func (f *Fleet) acknowledgedWorker() *Worker {
 	worker := f.NewWorker(Plain, "", Behaviour{})
 	f.Operator.Acknowledge(0, Document(1))
@@ -63,7 +63,7 @@
 	}
 }
 
-// acknowledgedBy tells whether each of the members acknowledges a heartbeat of the worker.
+// acknowledgedBy reports whether each of the members acknowledges a heartbeat of the worker.
 func (w *Worker) acknowledgedBy(members []*Control) bool {
 	for _, control := range members {
 		if !w.acknowledges(control) {
--- a/internal/fleettest/history.go
+++ b/internal/fleettest/history.go
@@ -39,7 +39,7 @@
 
 func (o markedOrder) key() string { return fmt.Sprintf("%d>%d%s", o.builtOn, o.version, o.mark) }
 
-// String serves fmt.Stringer.
+// String implements fmt.Stringer.
 func (a action) String() string {
 	if a.read {
 		return fmt.Sprintf("read: %d %d%s", a.status, a.version, a.mark)
@@ -125,7 +125,7 @@
 	return strings.Join(keys, ",") + ","
 }
 
-// refuses tells whether an order has to be refused now.
+// refuses reports whether an order has to be refused now.
 func (r register) refuses(order markedOrder) bool {
 	return listed(r.refused, order.key()) || order.builtOn != r.version || order.version <= r.version
 }
@@ -158,7 +158,7 @@
 	DescribeOperation: func(input, _ any) string { return input.(action).String() },
 }
 
-// distinct gives the calls, of those without a clear answer only the first for each order: it may take effect at any time
+// distinct returns the calls, of those without a clear answer only the first for each order: it may take effect at any time
 // after it, as the later ones may, and an order takes effect once.
 func (h *history) distinct() []porcupine.Operation {
 	h.mu.Lock()
--- a/internal/fleettest/history_test.go
+++ b/internal/fleettest/history_test.go
@@ -158,7 +158,7 @@
 	}
 }
 
-// sendUntilClear sends an order to one member after the other until its answer is clear, a few times at most. It gives the
+// sendUntilClear sends an order to one member after the other until its answer is clear, a few times at most. It returns the
 // version that the operator takes for current then.
 func sendUntilClear(h *history, client int, order markedOrder, known uint64) uint64 {
 	for range 4 {
@@ -176,9 +176,9 @@
 	return known
 }
 
-// befall has troubles come over the fleet, some of them at the same time: processes end only one at a time, or all. At most
+// injectTroubles has troubles come over the fleet, some of them at the same time: processes end only one at a time, or all. At most
 // one disk is lost.
-func befall(f *Fleet, until time.Duration) (names []string) {
+func injectTroubles(f *Fleet, until time.Duration) (names []string) {
 	wiped := false
 	for f.Now() < until {
 		var undo []func()
@@ -209,7 +209,7 @@
 	return names
 }
 
-// drawHistory has two operators order, repeat and read while troubles come over the control members, and gives the history
+// drawHistory has two operators order, repeat and read while troubles come over the control members, and returns the history
 // if nothing explains it.
 func drawHistory(t *testing.T, faults member.Faults) (fault string) {
 	runAlone(t, Plan{Edges: -1, Faults: Faults{Member: faults}}, func(c *qt.C, f *Fleet) {
@@ -220,7 +220,7 @@
 		for client := range 2 {
 			operators.Go(func() { operate(h, client, end) })
 		}
-		names := befall(f, end-4*time.Second)
+		names := injectTroubles(f, end-4*time.Second)
 		operators.Wait()
 		for _, control := range f.Controls {
 			f.Until(recovery, "a read at "+control.Node, func() bool { return h.read(9, control).status == http.StatusOK })
@@ -239,7 +239,7 @@
 	nothingIsBroken(t, *histories, drawHistory)
 }
 
-// drawing draws a history of a fleet whose members have the faults, and gives what it broke.
+// drawing draws a history of a fleet whose members have the faults, and returns what it broke.
 type drawing func(t *testing.T, faults member.Faults) (fault string)
 
 // nothingIsBroken draws so many histories of members as they are, none of which may break anything.
--- a/internal/fleettest/hunt_test.go
+++ b/internal/fleettest/hunt_test.go
@@ -115,7 +115,7 @@
 	}},
 }
 
-// orderOn keeps the operator ordering until the hunt ends, and gives the version that was acknowledged last.
+// orderOn keeps the operator ordering until the hunt ends, and returns the version that was acknowledged last.
 func orderOn(f *Fleet, ended <-chan struct{}) <-chan uint64 {
 	last := make(chan uint64, 1)
 	go func() {
@@ -136,8 +136,8 @@
 	return last
 }
 
-// askOn keeps clients asking until the hunt ends, and gives their answers.
-func askOn(f *Fleet, ended <-chan struct{}) <-chan []*Answer {
+// sendRepeatedly keeps clients asking until the hunt ends, and returns their answers.
+func sendRepeatedly(f *Fleet, ended <-chan struct{}) <-chan []*Answer {
 	all := make(chan []*Answer, 1)
 	paths := []string{HarmlessPath + "x", RiskyPath + "x", StreamPath + "x"}
 	go func() {
@@ -168,7 +168,7 @@
 				}
 				f.Serve()
 				ended := make(chan struct{})
-				last, answers := orderOn(f, ended), askOn(f, ended)
+				last, answers := orderOn(f, ended), sendRepeatedly(f, ended)
 				for range huntRounds {
 					next := anyOf(troubles)
 					c.Logf("at %v: %s", f.Now(), next.name)
--- a/internal/fleettest/inforce_test.go
+++ b/internal/fleettest/inforce_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// inForce waits until an edge works by a configuration with one route of its own, and gives how long after its
+// inForce waits until an edge works by a configuration with one route of its own, and returns how long after its
 // acknowledgement that was.
 func inForce(f *Fleet, edge *Edge, route string, acknowledged time.Duration) time.Duration {
 	f.t.Helper()
@@ -21,7 +21,7 @@
 
 func TestConfigurationIsInForceEverywhereInTime(t *testing.T) {
 	const rounds = 6
-	befall := map[string]func(f *Fleet, leader *Control){
+	injectTroubles := map[string]func(f *Fleet, leader *Control){
 		"nothing befalls the fleet": func(*Fleet, *Control) {},
 		"links are slow": func(f *Fleet, _ *Control) {
 			for _, edge := range f.Edges {
@@ -53,9 +53,9 @@
 		},
 	}
 	for name, befalls := range losses {
-		befall["a member "+name] = func(f *Fleet, leader *Control) { befalls(f, f.Others(leader)[0]) }
+		injectTroubles["a member "+name] = func(f *Fleet, leader *Control) { befalls(f, f.Others(leader)[0]) }
 	}
-	for name, befalls := range befall {
+	for name, befalls := range injectTroubles {
 		t.Run(name, func(t *testing.T) {
 			Run(t, Plan{Edges: 8, Zones: []string{"north", "south", "west"}}, func(c *qt.C, f *Fleet) {
 				// Given edges that are in touch with the control plane.
--- a/internal/fleettest/leave_test.go
+++ b/internal/fleettest/leave_test.go
@@ -90,7 +90,7 @@
 	}
 }
 
-// lose ends the processes that the story loses at the same moment, and starts them again.
+// lose ends the processes that the scenario loses at the same moment, and starts them again.
 func (e workerEnd) lose(f *Fleet) (backAt time.Duration) {
 	for _, control := range f.Controls {
 		if e.power {
@@ -156,7 +156,7 @@
 			countedFrom = backAt + inTouch
 		}
 		served := 0
-		for _, answer := range keepAsking(f, endServesOn) {
+		for _, answer := range sendContinuously(f, endServesOn) {
 			if answer.Status == http.StatusOK {
 				served++
 			}
--- a/internal/fleettest/limits_test.go
+++ b/internal/fleettest/limits_test.go
@@ -40,7 +40,7 @@
 	return string(all), time.Since(began)
 }
 
-// statusOf sends a head of about so many bytes and gives the answer's status.
+// statusOf sends a head of about so many bytes and returns the answer's status.
 func statusOf(c *qt.C, conn net.Conn, size int) int {
 	c.Helper()
 	_, _ = io.WriteString(conn, "GET "+HarmlessPath+"x HTTP/1.1\r\nHost: "+Host+"\r\nX-Request-Id: r\r\nX-Pad: "+
--- a/internal/fleettest/memnet/conn.go
+++ b/internal/fleettest/memnet/conn.go
@@ -40,7 +40,7 @@
 	ending  ending
 }
 
-// Conn is one end of a connection; it serves net.Conn and network.Quieter. The fabric's lock guards it.
+// Conn is one end of a connection; it implements net.Conn and network.Quieter. The fabric's lock guards it.
 type Conn struct {
 	fabric        *Fabric
 	owner         *Process
@@ -64,7 +64,7 @@
 	return c
 }
 
-// Read serves net.Conn.
+// Read implements net.Conn.
 func (c *Conn) Read(buffer []byte) (int, error) {
 	c.fabric.mu.Lock()
 	defer c.fabric.mu.Unlock()
@@ -100,11 +100,11 @@
 	if len(first.data) == 0 && first.ending == goesOn {
 		c.inbox = c.inbox[1:]
 	}
-	c.peer.stir()
+	c.peer.wakeWaiters()
 	return n, nil
 }
 
-// Write serves net.Conn.
+// Write implements net.Conn.
 func (c *Conn) Write(data []byte) (int, error) {
 	c.fabric.mu.Lock()
 	defer c.fabric.mu.Unlock()
@@ -150,26 +150,26 @@
 	}
 	if c.peer.closed || c.peer.vanished {
 		if s.ending == goesOn && !(c.peer.vanished && !c.fabric.powered(there)) {
-			c.strangers()
+			c.rejectUnknownPeer()
 		}
 		return
 	}
-	s.due = time.Now().Add(c.fabric.delayOf(here, there) + c.fabric.takes(here, there, len(s.data)))
+	s.due = time.Now().Add(c.fabric.delayOf(here, there) + c.fabric.transferTime(here, there, len(s.data)))
 	if n := len(c.peer.inbox); n > 0 && s.due.Before(c.peer.inbox[n-1].due) {
 		s.due = c.peer.inbox[n-1].due
 	}
 	c.peer.inbox = append(c.peer.inbox, s)
-	c.peer.stir()
+	c.peer.wakeWaiters()
 }
 
 // strangers has the far machine answer that it does not know the connection.
-func (c *Conn) strangers() {
+func (c *Conn) rejectUnknownPeer() {
 	here, there := c.owner.machine.ip, c.peer.owner.machine.ip
 	c.inbox = append(c.inbox, segment{
 		due:    time.Now().Add(c.fabric.delayOf(here, there) + c.fabric.delayOf(there, here)),
 		ending: resets,
 	})
-	c.stir()
+	c.wakeWaiters()
 }
 
 // watch ends the connection if the far machine stays silent.
@@ -189,7 +189,7 @@
 	})
 }
 
-// arrive notes what has come by now, and gives the time at which the next segment comes; zero: none is on its way, or the
+// arrive notes what has come by now, and returns the time at which the next segment comes; zero: none is on its way, or the
 // way is not whole.
 func (c *Conn) arrive() time.Time {
 	if c.peer == nil || !c.fabric.whole(c.peer.owner.machine.ip, c.owner.machine.ip) {
@@ -234,7 +234,7 @@
 }
 
 // stir wakes those who wait at this end.
-func (c *Conn) stir() {
+func (c *Conn) wakeWaiters() {
 	close(c.wake)
 	c.wake = make(chan struct{})
 }
@@ -244,22 +244,22 @@
 	if c.failure == nil {
 		c.failure = err
 	}
-	c.stir()
+	c.wakeWaiters()
 }
 
 // vanish ends this end with its machine's power.
-func (c *Conn) vanish() {
+func (c *Conn) losePower() {
 	c.vanished = true
 	c.fail(net.ErrClosed)
 }
 
-// crosses tells whether the connection uses a way.
+// crosses reports whether the connection uses a way.
 func (c *Conn) crosses(from, to string) bool {
 	here, there := c.owner.machine.ip, c.peer.owner.machine.ip
 	return here == from && there == to || here == to && there == from
 }
 
-// Close serves net.Conn.
+// Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.fabric.mu.Lock()
 	defer c.fabric.mu.Unlock()
@@ -301,10 +301,10 @@
 	}
 	c.closed = true
 	delete(c.owner.conns, c)
-	c.stir()
+	c.wakeWaiters()
 }
 
-// Quiet serves network.Quieter.
+// Quiet implements network.Quieter.
 func (c *Conn) Quiet() bool {
 	c.fabric.mu.Lock()
 	defer c.fabric.mu.Unlock()
@@ -312,19 +312,19 @@
 	return !c.closed && c.failure == nil && (len(c.inbox) == 0 || !c.inbox[0].arrived)
 }
 
-// LocalAddr serves net.Conn.
+// LocalAddr implements net.Conn.
 func (c *Conn) LocalAddr() net.Addr { return c.local }
 
-// RemoteAddr serves net.Conn.
+// RemoteAddr implements net.Conn.
 func (c *Conn) RemoteAddr() net.Addr { return c.remote }
 
-// SetDeadline serves net.Conn.
+// SetDeadline implements net.Conn.
 func (c *Conn) SetDeadline(at time.Time) error { return c.limit(&at, &at) }
 
-// SetReadDeadline serves net.Conn.
+// SetReadDeadline implements net.Conn.
 func (c *Conn) SetReadDeadline(at time.Time) error { return c.limit(&at, nil) }
 
-// SetWriteDeadline serves net.Conn.
+// SetWriteDeadline implements net.Conn.
 func (c *Conn) SetWriteDeadline(at time.Time) error { return c.limit(nil, &at) }
 
 func (c *Conn) limit(read, write *time.Time) error {
@@ -339,9 +339,9 @@
 	if write != nil {
 		c.writeLimit = *write
 	}
-	c.stir()
+	c.wakeWaiters()
 	return nil
 }
 
-// expired tells whether a limit has come.
+// expired reports whether a limit has come.
 func expired(limit time.Time) bool { return !limit.IsZero() && !time.Now().Before(limit) }
--- a/internal/fleettest/memnet/fabric.go
+++ b/internal/fleettest/memnet/fabric.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// Machine gives the machine with an IP address; it is made, with power, at the first call.
+// Machine returns the machine with an IP address; it is made, with power, at the first call.
 func (f *Fabric) Machine(ip string) *Machine {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -112,7 +112,7 @@
 }
 
 // takes is how long a link is taken up, from now on, until so many more bytes have left.
-func (f *Fabric) takes(from, to string, bytes int) time.Duration {
+func (f *Fabric) transferTime(from, to string, bytes int) time.Duration {
 	link := way{from, to}
 	f.carried[link] += int64(bytes)
 	rate := f.rates[link]
@@ -134,7 +134,7 @@
 	f.loss = part
 }
 
-// Reaches tells whether bytes get from one machine to another now.
+// Reaches reports whether bytes get from one machine to another now.
 func (f *Fabric) Reaches(from, to string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -170,7 +170,7 @@
 	close(f.changed)
 	f.changed = make(chan struct{})
 	for _, c := range f.conns() {
-		c.stir()
+		c.wakeWaiters()
 	}
 }
 
@@ -187,7 +187,7 @@
 	return all
 }
 
-// whole tells whether bytes get from one machine to another now.
+// whole reports whether bytes get from one machine to another now.
 func (f *Fabric) whole(from, to string) bool {
 	if from == to {
 		return f.powered(from)
--- a/internal/fleettest/memnet/machine.go
+++ b/internal/fleettest/memnet/machine.go
@@ -22,7 +22,7 @@
 	sockets   map[string]*packetConn // likewise
 }
 
-// Process starts a process; it serves network.Network.
+// Process starts a process; it implements network.Network.
 func (m *Machine) Process() *Process {
 	m.fabric.mu.Lock()
 	defer m.fabric.mu.Unlock()
@@ -42,7 +42,7 @@
 	for _, p := range m.processes {
 		p.ended = true
 		for c := range p.conns {
-			c.vanish()
+			c.losePower()
 		}
 	}
 	m.end(func(*Process) bool { return true })
@@ -55,7 +55,7 @@
 	m.powered = true
 	for _, c := range m.fabric.conns() {
 		if c.peer.vanished && c.unheard && c.peer.owner.machine == m {
-			c.strangers()
+			c.rejectUnknownPeer()
 		}
 	}
 	m.fabric.change()
@@ -79,7 +79,7 @@
 	m.fabric.change()
 }
 
-// Process is one process on a machine; it serves network.Network.
+// Process is one process on a machine; it implements network.Network.
 type Process struct {
 	fabric  *Fabric
 	machine *Machine
@@ -98,7 +98,7 @@
 	p.machine.end(func(other *Process) bool { return other == p })
 }
 
-// Listen serves network.Network.
+// Listen implements network.Network.
 func (p *Process) Listen(address string) (net.Listener, error) {
 	p.fabric.mu.Lock()
 	defer p.fabric.mu.Unlock()
@@ -117,7 +117,7 @@
 	return l, nil
 }
 
-// Dial serves network.Network.
+// Dial implements network.Network.
 func (p *Process) Dial(ctx context.Context, address string, terms network.DialOptions) (net.Conn, error) {
 	limit := terms.Timeout
 	if limit <= 0 {
@@ -184,7 +184,7 @@
 	c.peer = newConn(l.owner, to, from)
 	c.peer.peer = c
 	l.queue = append(l.queue, c.peer)
-	l.stir()
+	l.wakeWaiters()
 	return c, wait, nil, nil
 }
 
@@ -200,7 +200,7 @@
 	}
 }
 
-// listener serves net.Listener.
+// listener implements net.Listener.
 type listener struct {
 	owner   *Process
 	key     string
@@ -210,7 +210,7 @@
 	wake    chan struct{}
 }
 
-// Accept serves net.Listener.
+// Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		c, wake, err := l.next()
@@ -235,7 +235,7 @@
 	return c, nil, nil
 }
 
-// Close serves net.Listener.
+// Close implements net.Listener.
 func (l *listener) Close() error {
 	l.owner.fabric.mu.Lock()
 	defer l.owner.fabric.mu.Unlock()
@@ -247,7 +247,7 @@
 	return nil
 }
 
-// Addr serves net.Listener.
+// Addr implements net.Listener.
 func (l *listener) Addr() net.Addr { return l.address }
 
 // shut ends the listener; connections that nobody has accepted are reset.
@@ -257,10 +257,10 @@
 		c.abort()
 	}
 	l.queue = nil
-	l.stir()
+	l.wakeWaiters()
 }
 
-func (l *listener) stir() {
+func (l *listener) wakeWaiters() {
 	close(l.wake)
 	l.wake = make(chan struct{})
 }
--- a/internal/fleettest/memnet/memnet_test.go
+++ b/internal/fleettest/memnet/memnet_test.go
@@ -28,7 +28,7 @@
 	near, far      net.Conn
 }
 
-// connected tells a story of a connection.
+// connected runs a scenario of a connection.
 func connected(t *testing.T, terms network.DialOptions, story func(c *qt.C, p *pair)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleettest/memnet/packet.go
+++ b/internal/fleettest/memnet/packet.go
@@ -17,7 +17,7 @@
 	from net.Addr
 }
 
-// packetConn serves net.PacketConn.
+// packetConn implements net.PacketConn.
 type packetConn struct {
 	owner   *Process
 	key     string
@@ -27,7 +27,7 @@
 	wake    chan struct{}
 }
 
-// ListenPacket serves network.Network.
+// ListenPacket implements network.Network.
 func (p *Process) ListenPacket(address string) (net.PacketConn, error) {
 	p.fabric.mu.Lock()
 	defer p.fabric.mu.Unlock()
@@ -43,7 +43,7 @@
 	return s, nil
 }
 
-// ReadFrom serves net.PacketConn.
+// ReadFrom implements net.PacketConn.
 func (s *packetConn) ReadFrom(buffer []byte) (int, net.Addr, error) {
 	for {
 		next, wake, err := s.next()
@@ -71,7 +71,7 @@
 	return &next, nil, nil
 }
 
-// WriteTo serves net.PacketConn. Datagrams may be lost without a word.
+// WriteTo implements net.PacketConn. Datagrams may be lost without a word.
 func (s *packetConn) WriteTo(data []byte, to net.Addr) (int, error) {
 	f := s.owner.fabric
 	f.mu.Lock()
@@ -97,11 +97,11 @@
 	defer f.mu.Unlock()
 	if s := f.machines[ip].sockets[address]; s != nil {
 		s.queue = append(s.queue, sent)
-		s.stir()
+		s.wakeWaiters()
 	}
 }
 
-// Close serves net.PacketConn.
+// Close implements net.PacketConn.
 func (s *packetConn) Close() error {
 	s.owner.fabric.mu.Lock()
 	defer s.owner.fabric.mu.Unlock()
@@ -115,22 +115,22 @@
 
 func (s *packetConn) shut() {
 	s.closed = true
-	s.stir()
+	s.wakeWaiters()
 }
 
-func (s *packetConn) stir() {
+func (s *packetConn) wakeWaiters() {
 	close(s.wake)
 	s.wake = make(chan struct{})
 }
 
-// LocalAddr serves net.PacketConn.
+// LocalAddr implements net.PacketConn.
 func (s *packetConn) LocalAddr() net.Addr { return s.address }
 
-// SetDeadline serves net.PacketConn.
+// SetDeadline implements net.PacketConn.
 func (s *packetConn) SetDeadline(time.Time) error { return errNoLimit }
 
-// SetReadDeadline serves net.PacketConn.
+// SetReadDeadline implements net.PacketConn.
 func (s *packetConn) SetReadDeadline(time.Time) error { return errNoLimit }
 
-// SetWriteDeadline serves net.PacketConn.
+// SetWriteDeadline implements net.PacketConn.
 func (s *packetConn) SetWriteDeadline(time.Time) error { return errNoLimit }
--- a/internal/fleettest/operator.go
+++ b/internal/fleettest/operator.go
@@ -124,7 +124,7 @@
 	return response.StatusCode, string(text)
 }
 
-// Serve gives the fleet its first configuration and waits until all edges work by it and know of all workers.
+// Serve configures the fleet for the first time and waits until all edges work by it and know of all workers.
 func (f *Fleet) Serve() {
 	f.t.Helper()
 	f.Operator.Acknowledge(0, Document(1))
--- a/internal/fleettest/order.go
+++ b/internal/fleettest/order.go
@@ -18,7 +18,7 @@
 		Fence: gjson.GetBytes(body, "fence_number").Uint(),
 	}
 	place := w.begin(call)
-	status := w.obey(request, call)
+	status := w.applyOrder(request, call)
 	outcome := Done
 	if status >= http.StatusMultipleChoices {
 		outcome = TurnedAway
@@ -27,8 +27,8 @@
 	rw.WriteHeader(status)
 }
 
-// obey takes an order and gives the status of its answer.
-func (w *Worker) obey(request *http.Request, call Call) int {
+// applyOrder takes an order and returns the status of its answer.
+func (w *Worker) applyOrder(request *http.Request, call Call) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
--- a/internal/fleettest/ready_test.go
+++ b/internal/fleettest/ready_test.go
@@ -25,7 +25,7 @@
 	return answer.StatusCode, string(text)
 }
 
-// untilLink waits until an edge says how it stands to the control plane, and gives the status of that answer.
+// untilLink waits until an edge says how it stands to the control plane, and returns the status of that answer.
 func (f *Fleet) untilLink(edge *Edge, link string) (status int) {
 	f.t.Helper()
 	f.Until(15*time.Second, edge.Node+" "+link, func() bool {
--- a/internal/fleettest/repair_test.go
+++ b/internal/fleettest/repair_test.go
@@ -81,7 +81,7 @@
 }
 
 // repairStory has losses follow one another, so many at once as the fleet bears, each as soon as those before count as
-// repaired. It gives what was wrong.
+// repaired. It returns what was wrong.
 func repairStory(t *testing.T, bear int, faults member.Faults) (wrong string) {
 	runAlone(t, Plan{Controls: 2*bear + 1, Edges: -1, Faults: Faults{Member: faults}}, func(c *qt.C, f *Fleet) {
 		f.Operator.Acknowledge(0, Document(1))
@@ -144,7 +144,7 @@
 	return version, fmt.Sprintf("at %v: order %d was not acknowledged within %v", f.Now(), version+1, limit)
 }
 
-// turns gives one member after the other.
+// turns returns one member after the other.
 func turns(members ...*Control) func() *Control {
 	asked := 0
 	return func() *Control {
--- a/internal/fleettest/request_test.go
+++ b/internal/fleettest/request_test.go
@@ -56,8 +56,8 @@
 	})
 }
 
-// keepAsking has clients send harmless requests to all edges for a time, and gives the answers.
-func keepAsking(f *Fleet, length time.Duration) []*Answer {
+// sendContinuously has clients send harmless requests to all edges for a time, and returns the answers.
+func sendContinuously(f *Fleet, length time.Duration) []*Answer {
 	var answers []*Answer
 	for end := f.Now() + length; f.Now() < end; time.Sleep(50 * time.Millisecond) {
 		for _, edge := range f.Edges {
@@ -91,7 +91,7 @@
 				// When one worker says that it leaves and that is acknowledged, under a steady load.
 				acknowledged := make(chan time.Duration, 1)
 				go func() { acknowledged <- leaving.Leave() }()
-				answers := keepAsking(f, 6*time.Second)
+				answers := sendContinuously(f, 6*time.Second)
 				at := <-acknowledged
 				// Then it gets nothing new from the end of its time on, and all clients are answered.
 				for _, call := range leaving.Calls() {
@@ -114,7 +114,7 @@
 		f.Serve()
 		lost.Crash()
 		// When clients send harmless requests, then all are answered.
-		for _, answer := range keepAsking(f, 3*time.Second) {
+		for _, answer := range sendContinuously(f, 3*time.Second) {
 			c.Assert(answer.Status, qt.Equals, http.StatusOK)
 		}
 	})
@@ -128,7 +128,7 @@
 		f.Serve()
 		f.CutOffEdge(f.Edges[0])
 		// When clients send requests to it for a long time, then all are answered.
-		for _, answer := range keepAsking(f, 10*time.Second) {
+		for _, answer := range sendContinuously(f, 10*time.Second) {
 			c.Assert(answer.Status, qt.Equals, http.StatusOK)
 		}
 	})
--- a/internal/fleettest/settings_test.go
+++ b/internal/fleettest/settings_test.go
@@ -30,7 +30,7 @@
 	})
 }
 
-// reads tells whether a member gives the configuration of a version within the time of a recovery.
+// reads reports whether a member gives the configuration of a version within the time of a recovery.
 func (f *Fleet) reads(at *Control, version uint64) bool {
 	for end := f.Now() + recovery; f.Now() < end; time.Sleep(checkInterval) {
 		if status, document := f.Operator.Read(at); status == http.StatusOK && gjson.Get(document, "version").Uint() == version {
--- a/internal/fleettest/shares_test.go
+++ b/internal/fleettest/shares_test.go
@@ -16,7 +16,7 @@
 }
 
 // crowd has clients send so many harmless requests to each edge at once, and counts those that were answered.
-func crowd(f *Fleet, edges []*Edge, requests int) (served int) {
+func overload(f *Fleet, edges []*Edge, requests int) (served int) {
 	var answers []*Answer
 	for range requests {
 		for _, edge := range edges {
@@ -41,7 +41,7 @@
 		time.Sleep(time.Second)
 		worker.MostOpen()
 		// When many more requests come at once than there are connections.
-		served := crowd(f, f.Edges, 12)
+		served := overload(f, f.Edges, 12)
 		// Then the worker never has more than it takes, and requests that wait for a connection are served.
 		open := worker.MostOpen()
 		c.Assert(open <= most, qt.IsTrue, qt.Commentf("%d connections", open))
@@ -54,7 +54,7 @@
 		}
 		time.Sleep(15 * time.Second)
 		worker.MostOpen()
-		served = crowd(f, f.Edges[:1], 20)
+		served = overload(f, f.Edges[:1], 20)
 		open = worker.MostOpen()
 		c.Assert(open > share && open < most, qt.IsTrue, qt.Commentf("%d connections", open))
 		c.Assert(served, qt.Equals, 20)
--- a/internal/fleettest/staleness_test.go
+++ b/internal/fleettest/staleness_test.go
@@ -12,7 +12,7 @@
 // configuration: limits_of_rules.in_touch_ms of the deployments.
 const inTouch = 3 * time.Second
 
-// serves tells whether an edge works by a configuration that has the route of a path.
+// serves reports whether an edge works by a configuration that has the route of a path.
 func serves(f *Fleet, edge *Edge, path string) bool {
 	return f.Client.Ask(edge, path).Status == http.StatusOK
 }
@@ -34,7 +34,7 @@
 	return stale
 }
 
-// startsBesideStale tells whether an edge that starts beside a stale member, while the others are down for a moment, soon
+// startsBesideStale reports whether an edge that starts beside a stale member, while the others are down for a moment, soon
 // works by the newest configuration.
 func startsBesideStale(t *testing.T, faults Faults) (works bool) {
 	runAlone(t, Plan{Faults: faults}, func(c *qt.C, f *Fleet) {
--- a/internal/fleettest/worker.go
+++ b/internal/fleettest/worker.go
@@ -176,7 +176,7 @@
 	w.process.Kill()
 }
 
-// Leave has the worker say that it leaves and wait until that is acknowledged; it serves on. It gives the time of the
+// Leave has the worker say that it leaves and wait until that is acknowledged; it serves on. It returns the time of the
 // acknowledgement.
 func (w *Worker) Leave() time.Duration {
 	w.mu.Lock()
