--- a/internal/store/node.go
+++ b/internal/store/node.go
@@ -35,7 +35,7 @@
 	Dir   string // "" keeps nothing over a restart
 	Log   io.Writer
 
-	Transport raft.Transport // nil: TCP at Self.Raft
+	Transport peerTransport // nil: TCP at Self.Raft
 	// Heartbeat is how long a follower waits for its leader; 0 stands for raft's own default.
 	Heartbeat time.Duration
 	// SnapshotEntries is how many entries of the log have a snapshot taken, and about how many are kept beside it;
@@ -48,14 +48,15 @@
 
 // Node is this daemon's part of the store.
 type Node struct {
-	raft  *raft.Raft
-	kv    *kv
-	peers []Peer
-	self  Peer
-	zero  time.Time
-	quit  chan struct{}
-	keeps int64 // revisions of history; 0: all
-	close []func() error
+	raft     *raft.Raft
+	incoming *incoming
+	kv       *kv
+	peers    []Peer
+	self     Peer
+	zero     time.Time
+	quit     chan struct{}
+	keeps    int64 // revisions of history; 0: all
+	close    []func() error
 }
 
 const (
@@ -116,9 +117,11 @@
 	if err != nil {
 		return nil, errors.Join(err, n.Close())
 	}
-	if n.raft, err = raft.NewRaft(cfg, &fsm{n.kv, n.now}, logs, stable, snaps, over); err != nil {
+	n.incoming = newIncoming(over, logs, n.quit)
+	if n.raft, err = raft.NewRaft(cfg, &fsm{n.kv, n.now}, logs, stable, snaps, n.incoming); err != nil {
 		return nil, errors.Join(err, n.Close())
 	}
+	go n.incoming.run(n.raft)
 	if !known {
 		var members raft.Configuration
 		for _, p := range o.Peers {
