--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -30,7 +30,7 @@
 	Label     string  `json:"label,omitempty"` // of the program's version that it runs
 }
 
-// Names gives the places of zones and kinds in the settings; the module knows those only.
+// Names has the zones and kinds of the settings; the module knows them by their indices only.
 type Names struct{ Zones, Kinds []string }
 
 // phases of members. A word that is not known keeps new work away without declaring the worker gone.
@@ -38,7 +38,7 @@
 	"SERVING": brain.Ready, "DRAINING": brain.Draining, "DELETED": brain.Removed,
 }
 
-// Workers translates the members. A zone or kind that the settings do not name gets a place past their end:
+// Workers translates the members. A zone or kind that the settings do not name gets an index past their end:
 // the module then keeps clear of the kind, and sees the zone as far away.
 func (n Names) Workers(members []Member) []core.Worker {
 	out := make([]core.Worker, 0, len(members))
@@ -48,17 +48,17 @@
 			phase = brain.Draining
 		}
 		out = append(out, core.Worker{Name: m.ID, Addr: m.HostPort, Role: m.Flavor, Label: m.Label, Engine: brain.Engine{
-			ID: EngineID(m.ID), Zone: place(n.Zones, m.Locality), Cell: m.Cell, Kind: place(n.Kinds, m.Flavor),
+			ID: EngineID(m.ID), Zone: indexOf(n.Zones, m.Locality), Cell: m.Cell, Kind: indexOf(n.Kinds, m.Flavor),
 			Availability: phase, Weight: m.Size,
 			StartedAt: time.Duration(m.UpSinceMs * float64(time.Millisecond))}})
 	}
 	return out
 }
 
-// Zone is the place of a zone.
-func (n Names) Zone(name string) int { return place(n.Zones, name) }
+// Zone is the index of a zone; past the end for one that the settings do not name.
+func (n Names) Zone(name string) int { return indexOf(n.Zones, name) }
 
-func place(names []string, name string) int {
+func indexOf(names []string, name string) int {
 	if i := slices.Index(names, name); i >= 0 {
 		return i
 	}
--- a/internal/discovery/pace_test.go
+++ b/internal/discovery/pace_test.go
@@ -49,7 +49,7 @@
 			last, waiting = max(last, ends), waiting[1:]
 			continue
 		}
-		waiting[0].at = ends + next.pace.again(ends-next.at, false)
+		waiting[0].at = ends + next.pace.retryDelay(ends-next.at, false)
 	}
 	return last, calls
 }
@@ -67,45 +67,45 @@
 	const routers = 80
 	shared := fleet(routers, func(i int) *Pace { return Shared(routers, uint64(i)+1) })
 	q := &queue{each: 50 * time.Millisecond, most: 100 * time.Millisecond}
-	last, calls := follow(shared, q, 0, func(p *Pace) time.Duration { return p.first(false) }, time.Minute)
+	last, calls := follow(shared, q, 0, func(p *Pace) time.Duration { return p.firstDelay(false) }, time.Minute)
 	if last > 20*time.Second || calls > 2*routers {
 		t.Errorf("after a start all are served by %v, with %d calls", last, calls)
 	}
 	start := last + time.Minute
-	last, calls = follow(shared, q, start, func(p *Pace) time.Duration { return p.again(time.Minute, false) }, start+time.Minute)
+	last, calls = follow(shared, q, start, func(p *Pace) time.Duration { return p.retryDelay(time.Minute, false) }, start+time.Minute)
 	if last-start > 20*time.Second || calls > 2*routers {
 		t.Errorf("after a break all are served within %v, with %d calls", last-start, calls)
 	}
 	// Watches that fall silent all at once are opened anew soon, where that can be had, and all the same in the end.
 	for _, each := range []time.Duration{5 * time.Millisecond, 50 * time.Millisecond} {
 		start = last + time.Minute
-		last, calls = follow(shared, &queue{each: each, most: 100 * time.Millisecond}, start, func(p *Pace) time.Duration { return p.again(time.Minute, true) }, start+time.Minute)
-		if took := last - start; took > 20*time.Second || calls > 3*routers || (each < 10*time.Millisecond && took > 6*time.Second-silence) {
+		last, calls = follow(shared, &queue{each: each, most: 100 * time.Millisecond}, start, func(p *Pace) time.Duration { return p.retryDelay(time.Minute, true) }, start+time.Minute)
+		if took := last - start; took > 20*time.Second || calls > 3*routers || (each < 10*time.Millisecond && took > 6*time.Second-silenceTimeout) {
 			t.Errorf("a discovery that takes %v for a call: after a silence all are served within %v, with %d calls", each, took, calls)
 		}
 	}
 	// One far too slow for them all is left time: it is asked a bounded number of times.
 	slow := fleet(routers, func(i int) *Pace { return Shared(routers, uint64(i)+1) })
-	if _, calls := follow(slow, &queue{each: time.Hour}, 0, func(p *Pace) time.Duration { return p.first(false) }, time.Minute); calls > 10*routers {
+	if _, calls := follow(slow, &queue{each: time.Hour}, 0, func(p *Pace) time.Duration { return p.firstDelay(false) }, time.Minute); calls > 10*routers {
 		t.Errorf("%d calls in a minute at a discovery that serves nobody", calls)
 	}
 }
 
 // An agent of the router's own is asked at once and every pause; a move is followed soon however many there are.
 func TestPaceBounds(t *testing.T) {
-	if p := (&Pace{}); p.first(false) != 0 || p.first(true) != 0 || p.again(0, false) != pause || p.patience() != fetch {
+	if p := (&Pace{}); p.firstDelay(false) != 0 || p.firstDelay(true) != 0 || p.retryDelay(0, false) != localRetryDelay || p.fetchTimeout() != localFetchTimeout {
 		t.Error("the agent is not asked at once, or not again after the pause")
 	}
 	for routers := 1; routers < 2000; routers += 37 {
 		p := Shared(routers, uint64(routers))
 		for range 20 {
-			if wait := p.first(true); wait > moveTime {
+			if wait := p.firstDelay(true); wait > maxMoveDelay {
 				t.Fatalf("%d routers: %v before the first call at a new place", routers, wait)
 			}
-			if wait := p.again(time.Minute, true); wait > moveTime {
+			if wait := p.retryDelay(time.Minute, true); wait > maxMoveDelay {
 				t.Fatalf("%d routers: %v after a watch that was heard fell silent", routers, wait)
 			}
-			if wait := p.again(0, false); wait < pause || wait > longest {
+			if wait := p.retryDelay(0, false); wait < localRetryDelay || wait > maxRetryDelay {
 				t.Fatalf("%d routers: %v after a failure", routers, wait)
 			}
 		}
--- a/internal/discovery/pieces_test.go
+++ b/internal/discovery/pieces_test.go
@@ -120,7 +120,7 @@
 			}
 		}), &Pace{}, From{}, 10*time.Second)
 		calls := int(counted.Load())
-		if most := int(10*time.Second/pause) + 1; calls > most || calls < most/2 || len(told) > 0 {
+		if most := int(10*time.Second/localRetryDelay) + 1; calls > most || calls < most/2 || len(told) > 0 {
 			t.Errorf("%d calls in 10 s, at most %d are wanted; told %s", calls, most, fmt.Sprint(told))
 		}
 	})
--- a/internal/discovery/told_test.go
+++ b/internal/discovery/told_test.go
@@ -91,7 +91,7 @@
 func TestMoveIsToldInFourSeconds(t *testing.T) {
 	for mutes := range 4 {
 		for name, pace := range map[string]*Pace{"pushed": {}, "asked for": Shared(300, 5)} {
-			if mutes > 0 && pace.every > 0 {
+			if mutes > 0 && pace.interval > 0 {
 				continue // a call that may wait has a clock of its own
 			}
 			inPlace(t, func(t *testing.T, p *holder) {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -14,15 +14,15 @@
 )
 
 const (
-	// silence is how long a watch may say nothing before it is opened anew. An empty line comes every 2 s, and
+	// silenceTimeout is how long a watch may say nothing before it is opened anew. An empty line comes every 2 s, and
 	// what is not heard counts as told after 6 s: the rest of that is for opening the next one.
-	silence = 3 * time.Second
-	// fetch is how long the whole list may take. It is asked for at a start, after a move, when what the new place
+	silenceTimeout = 3 * time.Second
+	// localFetchTimeout is how long the whole list may take. It is asked for at a start, after a move, when what the new place
 	// has to tell counts as told 4 s later, and after a silence; the agent answers at once or not at all. What it gets
 	// at the end of an outage counts at once, and then drains have 1 s of grace: this and a pause must fit into it.
-	fetch = 600 * time.Millisecond
-	// maxList bounds one list, with the empty lines before it: at one each 2 s they take years to add up to that.
-	maxList = 8 << 20
+	localFetchTimeout = 600 * time.Millisecond
+	// maxListBytes bounds one list, with the empty lines before it: at one each 2 s they take years to add up to that.
+	maxListBytes = 8 << 20
 )
 
 // Watcher follows the list at an address. Use New.
@@ -37,7 +37,7 @@
 // New makes a Watcher of the agent at host:port, which is asked at that pace.
 func New(addr string, pace *Pace, log logrus.FieldLogger) *Watcher {
 	return &Watcher{url: "http://" + addr + "/catalog/members", client: &http.Client{Transport: &http.Transport{}},
-		log: log, silence: silence, pace: pace}
+		log: log, silence: silenceTimeout, pace: pace}
 }
 
 // From is where a watch begins.
@@ -47,14 +47,14 @@
 	Moved    bool // another place was followed before
 }
 
-// Run hands every list and change after the given one to tell, in order, until ctx ends. Each round asks for
+// Run hands every list and change after the given one to deliver, in order, until ctx ends. Each round asks for
 // the whole list first if none is known yet, then watches from the revision it has. An agent of this router's own is
 // also asked for the whole list after a silence: a new watch may be silent in turn, and to wait for that as long as a
 // watch may say nothing would bring the news later than they count as told.
-func (w *Watcher) Run(ctx context.Context, from From, tell func(List)) {
+func (w *Watcher) Run(ctx context.Context, from From, deliver func(List)) {
 	defer w.client.CloseIdleConnections()
-	revision, fetched := from.Revision, from.Known && w.pace.every > 0
-	for wait := w.pace.first(from.Moved); ; {
+	revision, fetched := from.Revision, from.Known && w.pace.interval > 0
+	for wait := w.pace.firstDelay(from.Moved); ; {
 		select {
 		case <-ctx.Done():
 			return
@@ -63,26 +63,26 @@
 		var err error
 		began, watched := time.Now(), fetched
 		if !fetched {
-			err = w.follow(ctx, w.url, w.pace.patience(), func(l List) error {
+			err = w.follow(ctx, w.url, w.pace.fetchTimeout(), func(l List) error {
 				if !l.Complete {
 					return errPartial
 				}
 				revision, fetched = l.Revision, true
-				tell(l)
+				deliver(l)
 				return nil
 			})
 		} else {
 			err = w.follow(ctx, fmt.Sprintf("%s?stream=1&index=%d", w.url, revision), w.silence, func(l List) error {
 				revision = l.Revision
-				tell(l)
+				deliver(l)
 				return nil
 			})
 		}
 		if wait = 0; (err != nil || watched || !fetched) && ctx.Err() == nil { // also an answer that ends at once may do so for ever
 			silent := (*silentError)(nil)
 			errors.As(err, &silent)
-			fetched = fetched && (!watched || silent == nil || w.pace.every > 0)
-			wait = w.pace.again(time.Since(began), silent != nil && silent.heard)
+			fetched = fetched && (!watched || silent == nil || w.pace.interval > 0)
+			wait = w.pace.retryDelay(time.Since(began), silent != nil && silent.heard)
 			w.log.WithError(err).WithField("pause", wait).Warn("discovery: the watch ended")
 		}
 	}
@@ -90,11 +90,11 @@
 
 // follow reads one answer to its end, object after object; silence ends it. The lines that come while nothing
 // changes are white space to the decoder, but they are heard.
-func (w *Watcher) follow(ctx context.Context, url string, silence time.Duration, tell func(List) error) error {
+func (w *Watcher) follow(ctx context.Context, url string, silence time.Duration, deliver func(List) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	var spoke atomic.Bool
-	quiet := time.AfterFunc(silence, func() { cancel(&silentError{silence, spoke.Load()}) })
+	var received atomic.Bool
+	quiet := time.AfterFunc(silence, func() { cancel(&silentError{silence, received.Load()}) })
 	defer quiet.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -114,18 +114,18 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answered %s", resp.Status)
 	}
-	body := &heard{Reader: resp.Body, heard: func() { spoke.Store(true); quiet.Reset(silence) }}
+	body := &monitoredReader{Reader: resp.Body, onRead: func() { received.Store(true); quiet.Reset(silence) }}
 	for lists := json.NewDecoder(body); ; {
 		var l List
-		body.left = maxList
+		body.remaining = maxListBytes
 		err := lists.Decode(&l)
 		switch cause := context.Cause(ctx); {
 		case cause != nil: // also of a list that has just come: another source may be followed by now
 			return cause
 		case err == nil && l.Complete && l.Members == nil:
-			return errNoList
+			return errMissingMembers
 		case err == nil:
-			if err := tell(l); err != nil {
+			if err := deliver(l); err != nil {
 				return err
 			}
 		case errors.Is(err, io.EOF):
@@ -144,30 +144,30 @@
 
 func (e *silentError) Error() string { return fmt.Sprintf("silent for %v", e.length) }
 
-// heard tells of every piece that is read, and bounds what one list may take.
-type heard struct {
+// monitoredReader calls onRead for every piece that is read, and bounds what one list may take.
+type monitoredReader struct {
 	io.Reader
-	heard func()
-	left  int
+	onRead    func()
+	remaining int
 }
 
 // What can't be the whole list must not be taken for one: all workers that it does not name would count as gone.
 var (
-	errNoList  = errors.New("an answer without members, as from another server")
-	errPartial = errors.New("a part of a list where the whole was asked for")
+	errMissingMembers = errors.New("an answer without members, as from another server")
+	errPartial        = errors.New("a part of a list where the whole was asked for")
 )
 
-var errLong = errors.New("longer than a list may be")
+var errListTooLong = errors.New("longer than a list may be")
 
 // Read serves io.Reader.
-func (h *heard) Read(b []byte) (int, error) {
-	if h.left <= 0 {
-		return 0, errLong
+func (r *monitoredReader) Read(b []byte) (int, error) {
+	if r.remaining <= 0 {
+		return 0, errListTooLong
 	}
-	n, err := h.Reader.Read(b)
+	n, err := r.Reader.Read(b)
 	if n > 0 {
-		h.heard()
+		r.onRead()
 	}
-	h.left -= n
+	r.remaining -= n
 	return n, err
 }
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -78,8 +78,8 @@
 	if got := strings.Join(a.asked, " "); !strings.HasPrefix(got, want) {
 		t.Errorf("asked %s", got)
 	}
-	if silence <= 2*time.Second {
-		t.Errorf("silence %v: must outlast a heartbeat of 2 s", silence)
+	if silenceTimeout <= 2*time.Second {
+		t.Errorf("silence %v: must outlast a heartbeat of 2 s", silenceTimeout)
 	}
 }
 
--- a/internal/etcd/client_test.go
+++ b/internal/etcd/client_test.go
@@ -26,7 +26,7 @@
 		require.Len(t, r.Kvs, 1)
 		assert.Equal(t, n.addr, string(r.Kvs[0].Value))
 		assert.GreaterOrEqual(t, r.Header.Revision, rev)
-		if once := metadata.AppendToOutgoingContext(t.Context(), forwarded, "1"); !n.Leads() {
+		if once := metadata.AppendToOutgoingContext(t.Context(), forwarded, "1"); !n.IsLeader() {
 			_, err = kv.Put(once, &pb.PutRequest{Key: []byte("k")})
 			assert.Error(t, err, "a call that was passed on is passed on again")
 		}
--- a/internal/etcd/etcd_test.go
+++ b/internal/etcd/etcd_test.go
@@ -59,7 +59,7 @@
 
 func leader(nodes []*node) *node {
 	for _, n := range nodes {
-		if n.Leads() && n.Fresh() == nil {
+		if n.IsLeader() && n.ReadBarrier() == nil {
 			return n
 		}
 	}
--- a/internal/etcd/etcdtest/serve.go
+++ b/internal/etcd/etcdtest/serve.go
@@ -29,7 +29,7 @@
 	go func() { _ = server.Serve(client) }()
 	stop = func() { server.Stop(); _ = n.Close() }
 	t.Cleanup(stop)
-	standin.Eventually(t, 5*time.Second, "the node leads", func() bool { return n.Leads() && n.Fresh() == nil })
+	standin.Eventually(t, 5*time.Second, "the node leads", func() bool { return n.IsLeader() && n.ReadBarrier() == nil })
 	return p.Client, stop
 }
 
--- a/internal/etcd/lease.go
+++ b/internal/etcd/lease.go
@@ -78,7 +78,7 @@
 
 // LeaseTimeToLive serves pb.LeaseServer by the leader's clock, which is the one that ends leases.
 func (s *Server) LeaseTimeToLive(ctx context.Context, r *pb.LeaseTimeToLiveRequest) (*pb.LeaseTimeToLiveResponse, error) {
-	if !s.node.Leads() || s.node.Fresh() != nil {
+	if !s.node.IsLeader() || s.node.ReadBarrier() != nil {
 		return passOn(ctx, s, func(ctx context.Context, conn *grpc.ClientConn) (*pb.LeaseTimeToLiveResponse, error) {
 			return pb.NewLeaseClient(conn).LeaseTimeToLive(ctx, r)
 		})
@@ -86,7 +86,7 @@
 	l, known := s.node.Lease(r.ID)
 	out := &pb.LeaseTimeToLiveResponse{Header: s.header(s.node.Revision()), ID: r.ID, TTL: -1}
 	if known {
-		out.TTL, out.GrantedTTL = int64(l.Left.Seconds()), l.TTL
+		out.TTL, out.GrantedTTL = int64(l.Remaining.Seconds()), l.TTL
 		for _, key := range l.Keys {
 			if r.Keys {
 				out.Keys = append(out.Keys, []byte(key))
--- a/internal/etcd/lease_test.go
+++ b/internal/etcd/lease_test.go
@@ -20,7 +20,7 @@
 	nodes := start(t, 3)
 	var at *node
 	for _, n := range nodes {
-		if !n.Leads() {
+		if !n.IsLeader() {
 			at = n
 		}
 	}
--- a/internal/etcd/server.go
+++ b/internal/etcd/server.go
@@ -139,7 +139,7 @@
 // open refuses to write a reserved key.
 func (s *Server) open(key, end []byte) error {
 	for name, why := range s.reserved {
-		if store.In(name, key, end) {
+		if store.InRange(name, key, end) {
 			return status.Errorf(codes.FailedPrecondition, "%s: %s", name, why)
 		}
 	}
@@ -166,8 +166,8 @@
 			return nil, err
 		}
 	}
-	if reads, copied := onlyReads(r); reads && (copied || s.node.Leads() && s.node.Fresh() == nil) {
-		out := s.node.Look(r)
+	if reads, copied := onlyReads(r); reads && (copied || s.node.IsLeader() && s.node.ReadBarrier() == nil) {
+		out := s.node.ReadTxn(r)
 		out.Header = s.header(out.Header.Revision)
 		return out, nil
 	}
@@ -254,7 +254,7 @@
 		return nil, rpctypes.ErrGRPCEmptyKey
 	}
 	if !r.Serializable && !ownCopy() {
-		if !s.node.Leads() || s.node.Fresh() != nil {
+		if !s.node.IsLeader() || s.node.ReadBarrier() != nil {
 			return passOn(ctx, s, func(ctx context.Context, conn *grpc.ClientConn) (*pb.RangeResponse, error) {
 				return pb.NewKVClient(conn).Range(ctx, r)
 			})
--- a/internal/store/lease.go
+++ b/internal/store/lease.go
@@ -14,13 +14,13 @@
 )
 
 // lease is what the log says of one: a TTL in whole seconds, as etcd counts, and how often it was renewed. What is
-// known of its time is each node's own and no part of the state: touched is when this node applied its last grant or
+// known of its time is each node's own and no part of the state: renewedAt is when this node applied its last grant or
 // renewal, which can't be earlier than its holder asked for it.
 type lease struct {
-	TTL     int64
-	Renewed uint64
-	touched time.Duration
-	keys    map[string]bool
+	TTL       int64
+	Renewed   uint64
+	renewedAt time.Duration
+	keys      map[string]bool
 }
 
 func (s *kv) grant(id, ttl int64, now time.Duration) error {
@@ -29,7 +29,7 @@
 	if s.leases[id] != nil {
 		return ErrLeaseExists
 	}
-	s.leases[id] = &lease{TTL: ttl, touched: now, keys: map[string]bool{}}
+	s.leases[id] = &lease{TTL: ttl, renewedAt: now, keys: map[string]bool{}}
 	return nil
 }
 
@@ -42,7 +42,7 @@
 		return 0, ErrLeaseNotFound
 	}
 	l.Renewed++
-	l.touched = now
+	l.renewedAt = now
 	return l.TTL, nil
 }
 
@@ -66,8 +66,8 @@
 	return nil
 }
 
-// attach notes which lease a key has now, 0 for none; the lock is held.
-func (s *kv) attach(key string, id int64) {
+// setLease notes which lease a key has now, 0 for none; the lock is held.
+func (s *kv) setLease(key string, id int64) {
 	if list := s.versions[key]; len(list) > 0 {
 		if l := s.leases[list[len(list)-1].Lease]; l != nil {
 			delete(l.keys, key)
@@ -78,40 +78,40 @@
 	}
 }
 
-// over is a lease whose time is up, as one node sees it.
-type over struct {
+// expiredLease is a lease whose time is up, as one node sees it.
+type expiredLease struct {
 	id      int64
 	renewed uint64
 }
 
 // expired lists the leases whose TTL has passed since this node applied their last renewal.
-func (s *kv) expired(now time.Duration) (out []over) {
+func (s *kv) expired(now time.Duration) (out []expiredLease) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	for id, l := range s.leases {
-		if now-l.touched > time.Duration(l.TTL)*time.Second {
-			out = append(out, over{id, l.Renewed})
+		if now-l.renewedAt > time.Duration(l.TTL)*time.Second {
+			out = append(out, expiredLease{id, l.Renewed})
 		}
 	}
 	return out
 }
 
-// extend gives every lease its whole time again: a node that has just begun to lead does not know how long the one
+// restartTimers gives every lease its whole time again: a node that has just begun to lead does not know how long the one
 // before it was heard by the holders.
-func (s *kv) extend(now time.Duration) {
+func (s *kv) restartTimers(now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.leases {
-		l.touched = now
+		l.renewedAt = now
 	}
 }
 
 // LeaseStatus is a lease as one node sees it.
 type LeaseStatus struct {
-	ID   int64
-	TTL  int64         // seconds, as granted
-	Left time.Duration // not below 0
-	Keys []string
+	ID        int64
+	TTL       int64         // seconds, as granted
+	Remaining time.Duration // not below 0
+	Keys      []string
 }
 
 func (s *kv) lease(id int64, now time.Duration) (LeaseStatus, bool) {
@@ -121,7 +121,7 @@
 	if l == nil {
 		return LeaseStatus{ID: id}, false
 	}
-	left := max(time.Duration(l.TTL)*time.Second-(now-l.touched), 0)
+	left := max(time.Duration(l.TTL)*time.Second-(now-l.renewedAt), 0)
 	return LeaseStatus{id, l.TTL, left, slices.Sorted(maps.Keys(l.keys))}, true
 }
 
--- a/internal/store/lease_test.go
+++ b/internal/store/lease_test.go
@@ -26,13 +26,13 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		f := &fsm{newKV(), func() time.Duration { return 0 }}
 		index := uint64(0)
-		apply := func(req *pb.InternalRaftRequest) applied {
+		apply := func(req *pb.InternalRaftRequest) applyResult {
 			data, err := proto.Marshal(req)
 			if err != nil {
 				rt.Fatal(err)
 			}
 			index++
-			return f.Apply(&raft.Log{Index: index, Data: data}).(applied)
+			return f.Apply(&raft.Log{Index: index, Data: data}).(applyResult)
 		}
 		renewed, keys := map[int64]int{}, map[string]int64{} // a key without a lease has 0
 		end := func(id int64) {
@@ -148,7 +148,7 @@
 	asked := time.Now()
 	for time.Since(asked) < 1500*time.Millisecond { // longer than the lease
 		switch err := renew(next, 1); {
-		case err != nil && !next.Leads(): // on a machine that is busy another may lead by now, and all begins anew
+		case err != nil && !next.IsLeader(): // on a machine that is busy another may lead by now, and all begins anew
 			next, asked = rest[leaderOf(t, rest)], time.Now()
 			continue
 		case err != nil:
--- a/internal/store/lossy_test.go
+++ b/internal/store/lossy_test.go
@@ -74,7 +74,7 @@
 // putAtLeader has whichever node leads put a value; it may be lost.
 func putAtLeader(nodes []*Node, value string) {
 	for _, node := range nodes {
-		if node.Leads() {
+		if node.IsLeader() {
 			_, _ = node.Apply(putOf(value)) // lost with the leader
 			return
 		}
--- a/internal/store/mvcc.go
+++ b/internal/store/mvcc.go
@@ -53,8 +53,8 @@
 	return &kv{rev: 1, versions: map[string][]version{}, leases: map[int64]*lease{}, changed: make(chan struct{})}
 }
 
-// at is the version of a key at a revision, or nil.
-func (s *kv) at(key string, rev int64) *version {
+// versionAt is the version of a key at a revision, or nil.
+func (s *kv) versionAt(key string, rev int64) *version {
 	list := s.versions[key]
 	i := sort.Search(len(list), func(i int) bool { return list[i].Rev > rev })
 	if i == 0 || list[i-1].Deleted {
@@ -63,13 +63,13 @@
 	return &list[i-1]
 }
 
-func (s *kv) pair(key string, v *version) *mvccpb.KeyValue {
+func (s *kv) keyValue(key string, v *version) *mvccpb.KeyValue {
 	return &mvccpb.KeyValue{Key: []byte(key), Value: v.Value, CreateRevision: v.Created, ModRevision: v.Rev, Version: v.Count, Lease: v.Lease}
 }
 
-// In tells whether a key lies in a range of etcd's form: no end is one key, an end of one zero byte is all from
+// InRange tells whether a key lies in a range of etcd's form: no end is one key, an end of one zero byte is all from
 // the key on.
-func In(name string, key, end []byte) bool {
+func InRange(name string, key, end []byte) bool {
 	switch {
 	case len(end) == 0:
 		return name == string(key)
@@ -79,20 +79,20 @@
 	return name >= string(key) && name < string(end)
 }
 
-// within lists the keys of a range that exist at a revision.
-func (s *kv) within(key, end []byte, rev int64) []string {
+// keysInRange lists the keys of a range that exist at a revision.
+func (s *kv) keysInRange(key, end []byte, rev int64) []string {
 	var out []string
 	if len(end) == 0 { // one key
-		if s.at(string(key), rev) != nil {
+		if s.versionAt(string(key), rev) != nil {
 			out = append(out, string(key))
 		}
 		return out
 	}
 	s.keys.Ascend(string(key), func(name string) bool {
-		if !In(name, key, end) {
+		if !InRange(name, key, end) {
 			return false
 		}
-		if s.at(name, rev) != nil {
+		if s.versionAt(name, rev) != nil {
 			out = append(out, name)
 		}
 		return true
@@ -114,8 +114,8 @@
 		return nil, s.rev, ErrCompacted
 	}
 	var out []*mvccpb.KeyValue
-	for _, name := range s.within(key, end, rev) {
-		out = append(out, s.pair(name, s.at(name, rev)))
+	for _, name := range s.keysInRange(key, end, rev) {
+		out = append(out, s.keyValue(name, s.versionAt(name, rev)))
 	}
 	return out, s.rev, nil
 }
@@ -123,19 +123,19 @@
 // put sets a key at a revision that is not yet current; the lock is held.
 func (s *kv) put(key string, value []byte, lease, rev int64) {
 	v := version{Rev: rev, Created: rev, Count: 1, Value: slices.Clone(value), Lease: lease}
-	if old := s.at(key, rev); old != nil {
+	if old := s.versionAt(key, rev); old != nil {
 		v.Created, v.Count = old.Created, old.Count+1
 	}
 	s.add(key, v)
 }
 
-func (s *kv) drop(key string, rev int64) { s.add(key, version{Rev: rev, Deleted: true}) }
+func (s *kv) deleteKey(key string, rev int64) { s.add(key, version{Rev: rev, Deleted: true}) }
 
 func (s *kv) add(key string, v version) {
 	if _, known := s.versions[key]; !known {
 		s.keys.Insert(key)
 	}
-	s.attach(key, v.Lease)
+	s.setLease(key, v.Lease)
 	s.versions[key] = append(s.versions[key], v)
 	s.history = append(s.history, change{v.Rev, key})
 }
@@ -191,8 +191,8 @@
 	Changed   <-chan struct{}
 }
 
-// since gives the events of a range from a revision on, whole revisions only, about most of them.
-func (s *kv) since(key, end []byte, from int64, prev bool, most int) (Changes, error) {
+// changesSince gives the events of a range from a revision on, whole revisions only, about most of them.
+func (s *kv) changesSince(key, end []byte, from int64, prev bool, most int) (Changes, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	out := Changes{Revision: s.rev, Next: max(from, s.rev+1), Compacted: s.compacted, Changed: s.changed}
@@ -205,18 +205,18 @@
 			out.Next = c.Rev
 			break
 		}
-		if !In(c.Key, key, end) {
+		if !InRange(c.Key, key, end) {
 			continue
 		}
 		ev := &mvccpb.Event{Type: mvccpb.PUT}
-		if v := s.at(c.Key, c.Rev); v != nil {
-			ev.Kv = s.pair(c.Key, v)
+		if v := s.versionAt(c.Key, c.Rev); v != nil {
+			ev.Kv = s.keyValue(c.Key, v)
 		} else {
 			ev.Type, ev.Kv = mvccpb.DELETE, &mvccpb.KeyValue{Key: []byte(c.Key), ModRevision: c.Rev}
 		}
 		if prev {
-			if v := s.at(c.Key, c.Rev-1); v != nil {
-				ev.PrevKv = s.pair(c.Key, v)
+			if v := s.versionAt(c.Key, c.Rev-1); v != nil {
+				ev.PrevKv = s.keyValue(c.Key, v)
 			}
 		}
 		out.Events = append(out.Events, ev)
@@ -241,13 +241,13 @@
 }
 
 func (s *kv) load(r io.Reader, now time.Duration) error {
-	var im image
-	if err := gob.NewDecoder(r).Decode(&im); err != nil {
+	var decoded image
+	if err := gob.NewDecoder(r).Decode(&decoded); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rev, s.compacted, s.versions, s.history = im.Rev, im.Compacted, im.Versions, im.History
+	s.rev, s.compacted, s.versions, s.history = decoded.Rev, decoded.Compacted, decoded.Versions, decoded.History
 	if s.versions == nil {
 		s.versions = map[string][]version{}
 	}
@@ -256,8 +256,8 @@
 		s.keys.Insert(key)
 	}
 	s.leases = map[int64]*lease{}
-	for id, l := range im.Leases {
-		s.leases[id] = &lease{TTL: l.TTL, Renewed: l.Renewed, touched: now, keys: map[string]bool{}}
+	for id, l := range decoded.Leases {
+		s.leases[id] = &lease{TTL: l.TTL, Renewed: l.Renewed, renewedAt: now, keys: map[string]bool{}}
 	}
 	for key, list := range s.versions {
 		if last := list[len(list)-1]; s.leases[last.Lease] != nil && !last.Deleted {
--- a/internal/store/node.go
+++ b/internal/store/node.go
@@ -48,31 +48,31 @@
 
 // Node is this daemon's part of the store.
 type Node struct {
-	raft     *raft.Raft
-	incoming *incoming
-	kv       *kv
-	peers    []Peer
-	self     Peer
-	zero     time.Time
-	quit     chan struct{}
-	keeps    int64 // revisions of history; 0: all
-	close    []func() error
+	raft         *raft.Raft
+	incoming     *incoming
+	kv           *kv
+	peers        []Peer
+	self         Peer
+	started      time.Time
+	quit         chan struct{}
+	historyLimit int64 // revisions of history; 0: all
+	closers      []func() error
 }
 
 const (
-	applyLimit   = 5 * time.Second
-	snapshots    = 2
-	raftConns    = 4
-	raftTimeout  = 2 * time.Second
-	snapshotLogs = 4096
+	applyTimeout             = 5 * time.Second
+	retainedSnapshots        = 2
+	connectionsPerPeer       = 4
+	raftIOTimeout            = 2 * time.Second
+	defaultSnapshotThreshold = 4096
 )
 
 // Open starts a node. Nodes that have nothing on disk begin as a cluster of the named peers.
 func Open(o Options) (*Node, error) {
-	n := &Node{kv: newKV(), peers: o.Peers, self: o.Self, zero: time.Now(), quit: make(chan struct{}), keeps: o.KeepRevisions}
+	n := &Node{kv: newKV(), peers: o.Peers, self: o.Self, started: time.Now(), quit: make(chan struct{}), historyLimit: o.KeepRevisions}
 	cfg := raft.DefaultConfig()
 	log := hclog.New(&hclog.LoggerOptions{Output: o.Log, Level: hclog.Warn})
-	cfg.LocalID, cfg.Logger, cfg.SnapshotThreshold = raft.ServerID(o.Self.ID), log, snapshotLogs
+	cfg.LocalID, cfg.Logger, cfg.SnapshotThreshold = raft.ServerID(o.Self.ID), log, defaultSnapshotThreshold
 	if o.Heartbeat > 0 {
 		cfg.HeartbeatTimeout, cfg.ElectionTimeout, cfg.LeaderLeaseTimeout = o.Heartbeat, o.Heartbeat, o.Heartbeat/2
 		cfg.CommitTimeout = o.Heartbeat / 10
@@ -84,7 +84,7 @@
 		cfg.SnapshotInterval = o.SnapshotEvery
 	}
 	var logs raft.LogStore = raft.NewInmemStore()
-	stable, snaps := raft.StableStore(logs.(*raft.InmemStore)), raft.SnapshotStore(raft.NewInmemSnapshotStore())
+	stable, snapshotStore := raft.StableStore(logs.(*raft.InmemStore)), raft.SnapshotStore(raft.NewInmemSnapshotStore())
 	if o.Dir != "" {
 		if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 			return nil, err
@@ -93,9 +93,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("store: %w", err)
 		}
-		n.close = append(n.close, bolt.Close)
+		n.closers = append(n.closers, bolt.Close)
 		logs, stable = bolt, bolt
-		if snaps, err = raft.NewFileSnapshotStoreWithLogger(o.Dir, snapshots, log); err != nil {
+		if snapshotStore, err = raft.NewFileSnapshotStoreWithLogger(o.Dir, retainedSnapshots, log); err != nil {
 			return nil, errors.Join(err, n.Close())
 		}
 	}
@@ -105,20 +105,20 @@
 		if err != nil {
 			return nil, errors.Join(err, n.Close())
 		}
-		tcp, err := raft.NewTCPTransportWithConfig(o.Self.Raft, addr, &raft.NetworkTransportConfig{MaxPool: raftConns,
-			Timeout: raftTimeout, ServerAddressProvider: n, Logger: log})
+		tcp, err := raft.NewTCPTransportWithConfig(o.Self.Raft, addr, &raft.NetworkTransportConfig{MaxPool: connectionsPerPeer,
+			Timeout: raftIOTimeout, ServerAddressProvider: n, Logger: log})
 		if err != nil {
 			return nil, errors.Join(err, n.Close())
 		}
-		n.close = append(n.close, tcp.Close)
+		n.closers = append(n.closers, tcp.Close)
 		over = transport{tcp}
 	}
-	known, err := raft.HasExistingState(logs, stable, snaps)
+	known, err := raft.HasExistingState(logs, stable, snapshotStore)
 	if err != nil {
 		return nil, errors.Join(err, n.Close())
 	}
 	n.incoming = newIncoming(over, logs, n.quit)
-	if n.raft, err = raft.NewRaft(cfg, &fsm{n.kv, n.now}, logs, stable, snaps, n.incoming); err != nil {
+	if n.raft, err = raft.NewRaft(cfg, &fsm{n.kv, n.uptime}, logs, stable, snapshotStore, n.incoming); err != nil {
 		return nil, errors.Join(err, n.Close())
 	}
 	go n.incoming.run(n.raft)
@@ -131,7 +131,7 @@
 			return nil, errors.Join(err, n.Close())
 		}
 	}
-	go n.expire()
+	go n.runExpiry()
 	return n, nil
 }
 
@@ -146,15 +146,15 @@
 	return "", fmt.Errorf("store: no peer %q", id)
 }
 
-// now is this node's monotonic clock.
-func (n *Node) now() time.Duration { return time.Since(n.zero) }
+// uptime is this node's monotonic clock, from its start.
+func (n *Node) uptime() time.Duration { return time.Since(n.started) }
 
-// expiryEvery is how often a leader looks for leases whose time is up.
-const expiryEvery = 50 * time.Millisecond
+// expiryInterval is how often a leader looks for leases whose time is up.
+const expiryInterval = 50 * time.Millisecond
 
-// expire has leases end whose time is up, while this node leads.
-func (n *Node) expire() {
-	tick := time.NewTicker(expiryEvery)
+// runExpiry has leases end whose time is up, while this node leads.
+func (n *Node) runExpiry() {
+	tick := time.NewTicker(expiryInterval)
 	defer tick.Stop()
 	led := false
 	for {
@@ -163,30 +163,30 @@
 			return
 		case <-tick.C:
 		}
-		if !n.Leads() {
+		if !n.IsLeader() {
 			led = false
 			continue
 		}
 		if !led { // what earlier leaders agreed on is applied first
-			if n.raft.Barrier(applyLimit).Error() != nil {
+			if n.raft.Barrier(applyTimeout).Error() != nil {
 				continue
 			}
-			n.kv.extend(n.now())
+			n.kv.restartTimers(n.uptime())
 			led = true
 		}
-		for _, o := range n.kv.expired(n.now()) {
+		for _, o := range n.kv.expired(n.uptime()) {
 			// An error is no matter: whoever leads looks again.
 			_, _ = n.Apply(&pb.InternalRaftRequest{ID: o.renewed + 1, LeaseRevoke: &pb.LeaseRevokeRequest{ID: o.id}})
 		}
 		// History is let go by an eighth at a time, so that compactions are few.
-		if rev, since := n.kv.revision(), n.kv.oldest(); n.keeps > 0 && rev-since > n.keeps+n.keeps/8 {
-			_, _ = n.Apply(&pb.InternalRaftRequest{Compaction: &pb.CompactionRequest{Revision: rev - n.keeps}})
+		if rev, since := n.kv.revision(), n.kv.oldestRevision(); n.historyLimit > 0 && rev-since > n.historyLimit+n.historyLimit/8 {
+			_, _ = n.Apply(&pb.InternalRaftRequest{Compaction: &pb.CompactionRequest{Revision: rev - n.historyLimit}})
 		}
 	}
 }
 
 // Lease tells what this node, which should lead, knows of a lease.
-func (n *Node) Lease(id int64) (LeaseStatus, bool) { return n.kv.lease(id, n.now()) }
+func (n *Node) Lease(id int64) (LeaseStatus, bool) { return n.kv.lease(id, n.uptime()) }
 
 // Leases lists the leases of this node's copy.
 func (n *Node) Leases() []int64 { return n.kv.leaseIDs() }
@@ -202,8 +202,8 @@
 	if n.raft != nil {
 		all = n.raft.Shutdown().Error()
 	}
-	for i := len(n.close) - 1; i >= 0; i-- {
-		all = errors.Join(all, n.close[i]())
+	for i := len(n.closers) - 1; i >= 0; i-- {
+		all = errors.Join(all, n.closers[i]())
 	}
 	return all
 }
@@ -219,8 +219,8 @@
 	return Peer{}, false
 }
 
-// Leads tells whether this node leads.
-func (n *Node) Leads() bool { return n.raft.State() == raft.Leader }
+// IsLeader tells whether this node leads.
+func (n *Node) IsLeader() bool { return n.raft.State() == raft.Leader }
 
 // Self is this node.
 func (n *Node) Self() Peer { return n.self }
@@ -232,23 +232,23 @@
 	if err != nil {
 		return nil, err
 	}
-	future := n.raft.Apply(data, applyLimit)
+	future := n.raft.Apply(data, applyTimeout)
 	if err := future.Error(); err != nil {
 		if errors.Is(err, raft.ErrNotLeader) {
 			err = ErrNotLeader
 		}
 		return nil, err
 	}
-	out := future.Response().(applied)
+	out := future.Response().(applyResult)
 	return out.response, out.err
 }
 
-// Fresh makes sure that what this node reads next is no older than the call; it must lead.
-func (n *Node) Fresh() error {
+// ReadBarrier makes sure that what this node reads next is no older than the call; it must lead.
+func (n *Node) ReadBarrier() error {
 	if err := n.raft.VerifyLeader().Error(); err != nil {
 		return ErrNotLeader
 	}
-	if err := n.raft.Barrier(applyLimit).Error(); err != nil {
+	if err := n.raft.Barrier(applyTimeout).Error(); err != nil {
 		return ErrNotLeader
 	}
 	return nil
@@ -259,12 +259,12 @@
 	return n.kv.read(key, end, rev)
 }
 
-// Look answers a transaction that only reads from this node's copy, at one revision.
-func (n *Node) Look(req *pb.TxnRequest) *pb.TxnResponse { return n.kv.look(req) }
+// ReadTxn answers a transaction that only reads from this node's copy, at one revision.
+func (n *Node) ReadTxn(req *pb.TxnRequest) *pb.TxnResponse { return n.kv.readTxn(req) }
 
 // Changes gives the events of a range from a revision on, whole revisions only.
 func (n *Node) Changes(key, end []byte, from int64, prev bool, most int) (Changes, error) {
-	return n.kv.since(key, end, from, prev, most)
+	return n.kv.changesSince(key, end, from, prev, most)
 }
 
 // Revision is the current one of this node's copy.
--- a/internal/store/pipeline.go
+++ b/internal/store/pipeline.go
@@ -11,7 +11,7 @@
 // Raft (1.7.3) stops reading a pipeline's answers there (pipelineDecode) and counts on its sender to notice. A sender
 // that had one more request to send meanwhile waits for a reader that is gone, for good: the follower hears heartbeats,
 // follows its leader, and gets no entry of the log until another one leads. One failed write to a full disk, or an
-// answer that took longer than raftTimeout, was enough.
+// answer that took longer than raftIOTimeout, was enough.
 type transport struct{ *raft.NetworkTransport }
 
 // AppendEntriesPipeline serves raft.Transport.
--- a/internal/store/pipeline_test.go
+++ b/internal/store/pipeline_test.go
@@ -12,7 +12,7 @@
 // reads no further answer after it, and sends on until it is told.
 func TestSenderIsToldOfARefusedAppend(t *testing.T) {
 	open := func() *raft.NetworkTransport {
-		tcp, err := raft.NewTCPTransport("127.0.0.1:0", nil, 1, raftTimeout, io.Discard)
+		tcp, err := raft.NewTCPTransport("127.0.0.1:0", nil, 1, raftIOTimeout, io.Discard)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -103,7 +103,7 @@
 				from := rapid.Int64Range(max(compacted, 1), rev).Draw(rt, "from")
 				state, next := maps.Clone(states[from]), from+1
 				for next <= rev {
-					c, err := f.kv.since([]byte{0}, []byte{0}, next, false, 2)
+					c, err := f.kv.changesSince([]byte{0}, []byte{0}, next, false, 2)
 					if err != nil || c.Next <= next {
 						rt.Fatalf("events from %d: next %d, %v", next, c.Next, err)
 					}
@@ -121,7 +121,7 @@
 					rt.Fatalf("events from %d lead to %v, the model has %v", from+1, state, states[rev])
 				}
 				if compacted > 0 {
-					if _, err := f.kv.since([]byte("a"), nil, compacted-1, false, 2); !errors.Is(err, ErrCompacted) {
+					if _, err := f.kv.changesSince([]byte("a"), nil, compacted-1, false, 2); !errors.Is(err, ErrCompacted) {
 						rt.Fatalf("events from before the compaction: %v", err)
 					}
 				}
@@ -195,8 +195,8 @@
 	t.Helper()
 	at := -1
 	standin.Eventually(t, 5*time.Second, "one node leads", func() bool {
-		at = slices.IndexFunc(nodes, (*Node).Leads)
-		return at >= 0 && nodes[at].Fresh() == nil
+		at = slices.IndexFunc(nodes, (*Node).IsLeader)
+		return at >= 0 && nodes[at].ReadBarrier() == nil
 	})
 	return at
 }
@@ -227,7 +227,7 @@
 	if err := set(rest[led], "k", "2"); err != nil {
 		t.Fatal(err)
 	}
-	if err := nodes[old].Fresh(); err == nil {
+	if err := nodes[old].ReadBarrier(); err == nil {
 		t.Error("a leader that is cut off takes its copy for fresh")
 	}
 	if err := set(nodes[old], "k", "lost"); err == nil {
