--- a/internal/fleettest/inforce_test.go
+++ b/internal/fleettest/inforce_test.go
@@ -21,7 +21,7 @@
 
 func TestConfigurationIsInForceEverywhereInTime(t *testing.T) {
 	const rounds = 6
-	injectTroubles := map[string]func(f *Fleet, leader *Control){
+	troubles := map[string]func(f *Fleet, leader *Control){
 		"nothing befalls the fleet": func(*Fleet, *Control) {},
 		"links are slow": func(f *Fleet, _ *Control) {
 			for _, edge := range f.Edges {
@@ -53,16 +53,16 @@
 		},
 	}
 	for name, befalls := range losses {
-		injectTroubles["a member "+name] = func(f *Fleet, leader *Control) { befalls(f, f.Others(leader)[0]) }
+		troubles["a member "+name] = func(f *Fleet, leader *Control) { befalls(f, f.Others(leader)[0]) }
 	}
-	for name, befalls := range injectTroubles {
+	for name, inject := range troubles {
 		t.Run(name, func(t *testing.T) {
 			Run(t, Plan{Edges: 8, Zones: []string{"north", "south", "west"}}, func(c *qt.C, f *Fleet) {
 				// Given edges that are in touch with the control plane.
 				f.NewWorker(Plain, "", Behaviour{})
 				f.Serve()
 				leader := f.Leader(settingsPartition)
-				befalls(f, leader)
+				inject(f, leader)
 				worst := time.Duration(0)
 				for version := range uint64(rounds) {
 					// When the operator's order is acknowledged.
--- a/internal/store/incoming_test.go
+++ b/internal/store/incoming_test.go
@@ -8,8 +8,9 @@
 	"time"
 
 	"github.com/hashicorp/raft"
-	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
 	"google.golang.org/protobuf/proto"
+
+	"sumacloft/internal/standin"
 )
 
 // scriptedLeader sends a node under test what a leader may send it. Entry i of its log puts the i-th value, so that a
@@ -22,8 +23,9 @@
 	term uint64
 }
 
-// followed opens a node with two other members, neither of which runs, and the leader that the test plays.
-func followed(t *testing.T) *scriptedLeader {
+// followed opens a node with two other members, neither of which runs, and the leader that the test plays. The leader has had
+// it install a snapshot of so many entries.
+func followed(t *testing.T, entries uint64) *scriptedLeader {
 	t.Helper()
 	address, link := raft.NewInmemTransport("follower")
 	other, leader := raft.NewInmemTransport("leader")
@@ -34,22 +36,22 @@
 	}
 	t.Cleanup(func() { _ = node.Close() })
 	leader.Connect(address, link)
-	return &scriptedLeader{t: t, node: node, link: leader, to: address, term: 2}
+	l := &scriptedLeader{t: t, node: node, link: leader, to: address, term: 2}
+	if r := l.snapshot(entries); !r.Success {
+		t.Fatal("the first snapshot was not installed")
+	}
+	return l
 }
 
 func (l *scriptedLeader) header() raft.RPCHeader {
 	return raft.RPCHeader{ProtocolVersion: raft.ProtocolVersionMax, ID: []byte("leader"), Addr: []byte("leader")}
 }
 
-func putOf(value string) *pb.InternalRaftRequest {
-	return &pb.InternalRaftRequest{Put: &pb.PutRequest{Key: []byte("key"), Value: []byte(value)}}
-}
-
 // entries are those of one term, from first to last.
 func (l *scriptedLeader) entries(term, first, last uint64) []*raft.Log {
 	var entries []*raft.Log
 	for index := first; index <= last; index++ {
-		data, err := proto.Marshal(putOf(fmt.Sprintf("%d of term %d", index, term)))
+		data, err := proto.Marshal(putRequest("key", fmt.Sprintf("%d of term %d", index, term)))
 		if err != nil {
 			l.t.Fatal(err)
 		}
@@ -94,25 +96,15 @@
 // applied waits until the node's state is that of so many entries; the last one was written in term.
 func (l *scriptedLeader) applied(term, index uint64) {
 	l.t.Helper()
-	end := time.Now().Add(5 * time.Second)
-	for time.Now().Before(end) && uint64(l.node.Revision()) != index+1 {
-		time.Sleep(time.Millisecond)
-	}
-	pairs, revision, err := l.node.Range([]byte("key"), nil, 0)
-	if err != nil || len(pairs) != 1 {
-		l.t.Fatalf("%v, %v", pairs, err)
-	}
-	if want := fmt.Sprintf("%d of term %d", index, term); uint64(revision) != index+1 || string(pairs[0].Value) != want {
-		l.t.Fatalf("revision %d with %q, want %d with %q", revision, pairs[0].Value, index+1, want)
+	standin.Eventually(l.t, 5*time.Second, fmt.Sprintf("%d entries are applied", index), func() bool { return uint64(l.node.Revision()) == index+1 })
+	if got, want := value(l.node, "key"), fmt.Sprintf("%d of term %d", index, term); got != want {
+		l.t.Fatalf("after %d entries the value is %q, want %q", index, got, want)
 	}
 }
 
 // A follower whose state went back to an older snapshot ended with "log not found" at the next commit.
 func TestOlderSnapshotIsNotInstalled(t *testing.T) {
-	l := followed(t)
-	if r := l.snapshot(100); !r.Success {
-		t.Fatal("the first snapshot was not installed")
-	}
+	l := followed(t, 100)
 	if r := l.append(100, 2, 110, l.entries(2, 101, 110)...); !r.Success {
 		t.Fatal("entries right after the snapshot were refused")
 	}
@@ -133,10 +125,7 @@
 
 // A leader that lost the answer to the first append after a snapshot was refused from then on.
 func TestAppendAfterSnapshotIsRepeated(t *testing.T) {
-	l := followed(t)
-	if r := l.snapshot(100); !r.Success {
-		t.Fatal("the snapshot was not installed")
-	}
+	l := followed(t, 100)
 	for range 2 {
 		if r := l.append(100, 2, 110, l.entries(2, 101, 110)...); !r.Success {
 			t.Fatal("entries right after the snapshot were refused")
@@ -151,10 +140,7 @@
 
 // What is left out of an append must not commit the follower's own entries that the leader does not have.
 func TestAppendAfterSnapshotCommitsOnlyTheLeadersEntries(t *testing.T) {
-	l := followed(t)
-	if r := l.snapshot(100); !r.Success {
-		t.Fatal("the snapshot was not installed")
-	}
+	l := followed(t, 100)
 	l.append(100, 2, 100, l.entries(2, 101, 105)...) // not committed
 	l.term = 3
 	if r := l.append(90, 2, 104, l.entries(2, 91, 100)...); !r.Success {
@@ -169,23 +155,16 @@
 
 // Entries that an installed snapshot covers may never have been committed: a node that leads later must not send them.
 func TestEntriesUnderAnInstalledSnapshotAreDeleted(t *testing.T) {
-	l := followed(t)
-	if r := l.snapshot(100); !r.Success {
-		t.Fatal("the first snapshot was not installed")
-	}
+	l := followed(t, 100)
 	l.append(100, 2, 100, l.entries(2, 101, 105)...) // not committed
 	l.term = 3
 	if r := l.snapshot(108); !r.Success {
 		t.Fatal("the newer snapshot was not installed")
 	}
 	for index := uint64(1); index <= 108; index++ {
-		end := time.Now().Add(5 * time.Second)
-		for l.node.incoming.logs.GetLog(index, new(raft.Log)) == nil {
-			if time.Now().After(end) {
-				t.Fatalf("entry %d is still in the log", index)
-			}
-			time.Sleep(time.Millisecond)
-		}
+		standin.Eventually(t, 5*time.Second, fmt.Sprintf("entry %d is deleted", index), func() bool {
+			return l.node.incoming.logs.GetLog(index, new(raft.Log)) != nil
+		})
 	}
 	if r := l.append(108, 2, 109, l.entries(3, 109, 109)...); !r.Success {
 		t.Fatal("the next entry was refused")
--- a/internal/store/lossy_test.go
+++ b/internal/store/lossy_test.go
@@ -49,33 +49,20 @@
 // lossyCluster opens three nodes that lose answers and take snapshots often.
 func lossyCluster(t *testing.T, seed uint64) ([]*Node, []*raft.InmemTransport) {
 	t.Helper()
-	var peers []Peer
-	var links []*raft.InmemTransport
-	for i := range 3 {
-		address, link := raft.NewInmemTransportWithTimeout("", 100*time.Millisecond)
-		peers = append(peers, Peer{ID: fmt.Sprint("n", i), Raft: string(address)})
-		links = append(links, link)
-	}
-	join(links, 0, 1, 2)
-	var nodes []*Node
-	for i := range peers {
-		over := &lossyTransport{InmemTransport: links[i], random: rand.New(rand.NewPCG(seed, uint64(i)))}
-		node, err := Open(Options{Self: peers[i], Peers: peers, Transport: over, Log: io.Discard, Heartbeat: 100 * time.Millisecond,
-			SnapshotEntries: 6, SnapshotEvery: 10 * time.Millisecond})
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = node.Close() })
-		nodes = append(nodes, node)
-	}
-	return nodes, links
+	const callTimeout = 100 * time.Millisecond
+	return openCluster(t, callTimeout, func(i int, o *Options) {
+		link := o.Transport.(*raft.InmemTransport)
+		o.Transport = &lossyTransport{InmemTransport: link, random: rand.New(rand.NewPCG(seed, uint64(i)))}
+		o.Heartbeat = 100 * time.Millisecond
+		o.SnapshotEntries, o.SnapshotEvery = 6, 10*time.Millisecond
+	})
 }
 
 // putAtLeader has whichever node leads put a value; it may be lost.
 func putAtLeader(nodes []*Node, value string) {
 	for _, node := range nodes {
 		if node.IsLeader() {
-			_, _ = node.Apply(putOf(value)) // lost with the leader
+			_ = set(node, "key", value) // lost with the leader, perhaps
 			return
 		}
 	}
--- a/internal/store/memorysnapshots.go
+++ b/internal/store/memorysnapshots.go
@@ -16,8 +16,6 @@
 	latest *memorySnapshot // nil: none
 }
 
-func newMemorySnapshots() *memorySnapshots { return &memorySnapshots{} }
-
 // memorySnapshot is a complete snapshot, or one being written that only its writer has.
 type memorySnapshot struct {
 	store *memorySnapshots
--- a/internal/store/memorysnapshots_test.go
+++ b/internal/store/memorysnapshots_test.go
@@ -9,7 +9,7 @@
 
 // A snapshot that is still being written was listed, and could be sent half written.
 func TestOnlyCompleteSnapshotsAreListed(t *testing.T) {
-	var store raft.SnapshotStore = newMemorySnapshots()
+	var store raft.SnapshotStore = &memorySnapshots{}
 	begin := func(index uint64) raft.SnapshotSink {
 		t.Helper()
 		sink, err := store.Create(raft.SnapshotVersionMax, index, 2, raft.Configuration{}, 1, nil)
--- a/internal/store/node.go
+++ b/internal/store/node.go
@@ -84,7 +84,7 @@
 		cfg.SnapshotInterval = o.SnapshotEvery
 	}
 	var logs raft.LogStore = raft.NewInmemStore()
-	stable, snapshotStore := raft.StableStore(logs.(*raft.InmemStore)), raft.SnapshotStore(newMemorySnapshots())
+	stable, snapshotStore := raft.StableStore(logs.(*raft.InmemStore)), raft.SnapshotStore(&memorySnapshots{})
 	if o.Dir != "" {
 		if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 			return nil, err
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -150,20 +150,30 @@
 
 // cluster starts three nodes over transports that can be cut.
 func cluster(t *testing.T, dirs ...string) ([]*Node, []*raft.InmemTransport) {
+	const callTimeout = 500 * time.Millisecond
+	return openCluster(t, callTimeout, func(i int, o *Options) {
+		o.Heartbeat = 60 * time.Millisecond
+		if len(dirs) > i {
+			o.Dir = dirs[i]
+		}
+	})
+}
+
+// openCluster opens three nodes over transports that can be cut, with options that configure completes for each.
+func openCluster(t *testing.T, callTimeout time.Duration, configure func(i int, o *Options)) ([]*Node, []*raft.InmemTransport) {
+	t.Helper()
 	var peers []Peer
 	var links []*raft.InmemTransport
 	for i := range 3 {
-		addr, link := raft.NewInmemTransport("")
+		addr, link := raft.NewInmemTransportWithTimeout("", callTimeout)
 		peers = append(peers, Peer{ID: fmt.Sprint("n", i), Raft: string(addr)})
 		links = append(links, link)
 	}
 	join(links, 0, 1, 2)
 	var nodes []*Node
 	for i := range peers {
-		o := Options{Self: peers[i], Peers: peers, Transport: links[i], Log: io.Discard, Heartbeat: 60 * time.Millisecond}
-		if len(dirs) > i {
-			o.Dir = dirs[i]
-		}
+		o := Options{Self: peers[i], Peers: peers, Transport: links[i], Log: io.Discard}
+		configure(i, &o)
 		n, err := Open(o)
 		if err != nil {
 			t.Fatal(err)
@@ -201,8 +211,12 @@
 	return at
 }
 
+func putRequest(key, value string) *pb.InternalRaftRequest {
+	return &pb.InternalRaftRequest{Put: &pb.PutRequest{Key: []byte(key), Value: []byte(value)}}
+}
+
 func set(n *Node, key, value string) error {
-	_, err := n.Apply(&pb.InternalRaftRequest{Put: &pb.PutRequest{Key: []byte(key), Value: []byte(value)}})
+	_, err := n.Apply(putRequest(key, value))
 	return err
 }
 
