election: an answer that comes when the hold has run out renews nothing

What callers saw: a candidate of examples/election whose renewal was answered with 200 after its time went on leading and wrote again under its old fence.

Change: the moment of the answer is compared with the time that is left, and renewals and writes are not waited for beyond it.

--- a/examples/election/candidate.go
+++ b/examples/election/candidate.go
@@ -42,25 +42,44 @@
 		_, _, _ = c.calls.post(context.WithoutCancel(ctx), "Finish", c.lock, lockCall{Owner: c.name, Fence: fence})
 	}() // else it lapses
 	for ctx.Err() == nil && time.Now().Before(until) {
-		if err := c.write(ctx, fence); err != nil {
+		if err := c.writeBefore(ctx, until, fence); err != nil {
 			c.say("%v", err)
 			return
 		}
 		c.rest(ctx)
-		sent := time.Now()
-		status, _, err := c.calls.post(ctx, "Beat", c.lock, lockCall{Owner: c.name, Fence: fence, HoldMS: c.hold.Milliseconds()})
-		switch {
-		case err != nil:
-			c.say("%v", err)
-		case status == http.StatusConflict:
-			c.say("fence %d is lost", fence)
-			return
-		default:
-			until = sent.Add(c.hold)
-		}
+		until = c.renew(ctx, fence, until)
 	}
 }
 
+// renew asks for another hold and returns until when the election counts. An answer that comes when its time has run out
+// counts for nothing, also if it says that the hold was renewed.
+func (c *candidate) renew(ctx context.Context, fence uint64, until time.Time) time.Time {
+	sent := time.Now()
+	timed, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	status, _, err := c.calls.post(timed, "Beat", c.lock, lockCall{Owner: c.name, Fence: fence, HoldMS: c.hold.Milliseconds()})
+	got := time.Now()
+	switch {
+	case err != nil:
+		c.say("%v", err)
+	case status == http.StatusConflict:
+		c.say("fence %d is lost", fence)
+		return got
+	case !got.Before(until):
+		c.say("fence %d was renewed too late: the election no longer counts", fence)
+	default:
+		return sent.Add(c.hold)
+	}
+	return until
+}
+
+// writeBefore writes unless that takes until the election no longer counts.
+func (c *candidate) writeBefore(ctx context.Context, until time.Time, fence uint64) error {
+	timed, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	return c.write(timed, fence)
+}
+
 // write puts a line into the store under the fence.
 func (c *candidate) write(ctx context.Context, fence uint64) error {
 	c.count++
--- a/examples/election/election_test.go
+++ b/examples/election/election_test.go
@@ -20,6 +20,7 @@
 	owner  string
 	fence  uint64
 	refuse bool
+	late   time.Duration // by which the first renewal is answered late
 }
 
 // ServeHTTP answers as docs/LOCKS.md says, but that nothing lapses.
@@ -28,6 +29,10 @@
 	defer m.mu.Unlock()
 	var call lockCall
 	_ = json.NewDecoder(request.Body).Decode(&call) // these tests send what can be read
+	if strings.Contains(request.URL.Path, "Beat") {
+		time.Sleep(m.late)
+		m.late = 0
+	}
 	switch {
 	case m.refuse:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -59,6 +64,39 @@
 	c.Fatal("not seen: " + what)
 }
 
+// Guards against a leader that goes on when its renewal is answered after its time has run out: that answer counts for nothing.
+func TestLeaderGivesUpWhenItsRenewalComesTooLate(t *testing.T) {
+	c := qt.New(t)
+	const hold = 900 * time.Millisecond
+	kept := &store{}
+	written := httptest.NewServer(kept)
+	defer written.Close()
+	// Given a renewal that is sent after a third of the hold and answered after the hold, before another has passed since it
+	// was sent,
+	control := httptest.NewServer(&member{late: hold - 150*time.Millisecond})
+	defer control.Close()
+	one := &candidate{name: "one", lock: "l", hold: hold, store: strings.TrimPrefix(written.URL, "http://"), say: t.Logf,
+		calls: &controlClient{addresses: []string{strings.TrimPrefix(control.URL, "http://")}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		one.run(ctx)
+	}()
+	// when it writes again,
+	seen := func() (fence uint64, text string) {
+		kept.mu.Lock()
+		defer kept.mu.Unlock()
+		return kept.fence, kept.text
+	}
+	eventually(c, "a second write", func() bool { _, text := seen(); return text == "one wrote this 2" })
+	// then it has been elected anew.
+	fence, _ := seen()
+	c.Assert(fence, qt.Equals, uint64(2))
+	cancel()
+	<-ended
+}
+
 func TestLeaderThatWasReplacedCannotWrite(t *testing.T) {
 	c := qt.New(t)
 	kept := &store{}
