Locks: leaders that guess that an answer arrived are found by model and histories

After a renewal for less time no member can know that its 200 arrived.

The product changes by the injected fault alone (Ages know the faults of their state).

--- a/internal/control/coordination/ages.go
+++ b/internal/control/coordination/ages.go
@@ -24,6 +24,7 @@
 type Ages struct {
 	holdings map[string][]age // of each grant that may be the last to end, the newest first
 	marks    map[string][]mark
+	faults   Faults
 }
 
 // age is when a member applied a grant.
@@ -39,11 +40,20 @@
 	at       time.Duration
 }
 
+// trustedSilence is how long an owner says nothing before TrustSilence takes its last answer for received. Callers wait a
+// second for an answer.
+const trustedSilence = time.Second
+
 // markInterval is what one mark covers at most.
 const markInterval = time.Second
 
 // NewAges returns the ages of an empty state.
-func NewAges() *Ages { return &Ages{holdings: map[string][]age{}, marks: map[string][]mark{}} }
+func NewAges() *Ages { return NewBrokenAges(Faults{}) }
+
+// NewBrokenAges returns the ages of an empty state that are broken on purpose.
+func NewBrokenAges(faults Faults) *Ages {
+	return &Ages{holdings: map[string][]age{}, marks: map[string][]mark{}, faults: faults}
+}
 
 // Note takes what a command did, at the time of its application.
 func (a *Ages) Note(now time.Duration, state *State, outcome Outcome) {
@@ -69,7 +79,7 @@
 
 // Restart counts all that a state holds from now on, in full.
 func (a *Ages) Restart(now time.Duration, state *State) {
-	*a = *NewAges()
+	*a = *NewBrokenAges(a.faults)
 	state.Holdings(func(name string, held Holding) {
 		a.follow(now, name, held)
 	})
@@ -81,6 +91,9 @@
 // Left is how much of a holding's time is left, by this member's clock; negative after its end.
 func (a *Ages) Left(now time.Duration, name string, held Holding) time.Duration {
 	ages := a.follow(now, name, held)
+	if a.faults.TrustSilence && now-ages[0].since >= trustedSilence {
+		held.Earlier = nil
+	}
 	place := 0
 	left := time.Duration(math.MinInt64)
 	held.Grants(func(grant Grant) {
--- a/internal/control/coordination/model_test.go
+++ b/internal/control/coordination/model_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"hash/fnv"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -13,7 +11,6 @@
 	"github.com/zeebo/errs"
 
 	"sumacloft/internal/control/coordination"
-	"sumacloft/internal/control/modelcheck"
 )
 
 // The model is the State and the Ages of this package at two members that lead in turn, under all orders of a bounded number
@@ -37,12 +34,19 @@
 	UnloggedBeats bool
 	// SharedTimes has a new leader count holdings from the start, whenever it applied them.
 	SharedTimes bool
+	// Received has the leader take answers for received that may not have been: see guess.
+	Received guess
 }
 
 // budget is how often things may still happen.
 type budget struct {
 	Asks, Beats, Ends, Changes, Losses int
 	Shorts                             int // asks and renewals for less time than the others
+	// Hold is the length of the others in ticks, and Ticks the end of the world; 0: holdTicks and lastTick.
+	Hold, Ticks int
+	// Serial has callers make one call at a time, wait for a second and go by the last good one. Others have any number of
+	// calls under way, hear late answers too and go by the longest of all that they were given.
+	Serial bool
 }
 
 // caller is one application.
@@ -61,12 +65,14 @@
 	Lapsed uint64
 	Answer coordination.Answer
 	Seen   uint64 // highest fence that the other had obtained when the call was sent
+	Entry  int    // of an answer: the index of the call's entry, 0 if it has none
 }
 
 // entry is a committed call; When is the tick at which each member applied it, -1 before.
 type entry struct {
 	Message message
 	When    [2]int
+	Fate    fate // of its answer
 }
 
 type world struct {
@@ -89,13 +95,16 @@
 
 func (w world) moves() []move {
 	var list []move
-	if w.Tick < lastTick {
+	if w.Tick < orElse(w.Left.Ticks, lastTick) {
 		list = append(list, move{"tick", 0})
 	}
 	if w.Left.Changes > 0 {
 		list = append(list, move{"change leader", 0})
 	}
 	for i, c := range w.Callers {
+		if w.Left.Serial && w.waits(i) {
+			continue
+		}
 		holds := c.Until > w.Tick
 		if w.Left.Asks > 0 {
 			list = append(list, move{"ask", i})
@@ -126,9 +135,17 @@
 	return list
 }
 
+// orElse is a number, or another if it is 0.
+func orElse(number, other int) int {
+	if number != 0 {
+		return number
+	}
+	return other
+}
+
 // member is the state of one member, with its times.
 func (w world) member(number int, faults modelFaults) (*coordination.State, *coordination.Ages) {
-	state, ages := coordination.NewBroken(faults.State), coordination.NewAges()
+	state, ages := coordination.NewBroken(faults.State), coordination.NewBrokenAges(faults.State)
 	for index, e := range w.Log {
 		if e.When[number] < 0 {
 			break
@@ -178,6 +195,7 @@
 		next.Messages = slices.Delete(next.Messages, step.at, step.at+1)
 		if step.kind == "lose" {
 			next.Left.Losses--
+			next.settle(m, lost)
 			return next, nil
 		}
 		return next, next.follow(m, faults)
@@ -188,7 +206,7 @@
 // hold takes the ticks for which a move asks from the budget.
 func (w *world) hold(step move) int {
 	if !strings.HasSuffix(step.kind, "for less") {
-		return holdTicks
+		return orElse(w.Left.Hold, holdTicks)
 	}
 	w.Left.Shorts--
 	return shortTicks
@@ -216,7 +234,12 @@
 
 // follow takes a message one step further. A member that no longer leads has nothing committed.
 func (w *world) follow(m message, faults modelFaults) error {
+	if m.Stage == "answer" && w.Left.Serial && w.late(m) {
+		w.settle(m, lost)
+		return nil
+	}
 	if m.Stage == "answer" {
+		w.settle(m, heard)
 		return w.hear(m)
 	}
 	if m.At == w.leader() {
@@ -230,6 +253,11 @@
 	now := time.Duration(w.Tick) * tickLength
 	if m.Call.Kind == coordination.StartLock {
 		lapsed, held := ages.Lapsed(now, state, lockName, m.Call.Owner)
+		if held && faults.Received != nil {
+			if sequence, gone := w.trusted(state, ages, faults.Received); gone {
+				lapsed, held = sequence, false
+			}
+		}
 		if held {
 			return
 		}
@@ -251,7 +279,7 @@
 	for index, e := range w.Log {
 		m.Answer = state.Apply(uint64(index+1), encoded(e.Message)).Answer
 	}
-	m.Stage = "answer"
+	m.Stage, m.Entry = "answer", len(w.Log)
 	w.Messages = append(w.Messages, m)
 }
 
@@ -262,15 +290,18 @@
 	}
 	own, other := &w.Callers[m.Caller], w.Callers[1-m.Caller]
 	until := m.Sent + int(time.Duration(m.Call.HoldMS)*time.Millisecond/tickLength)
+	if !w.Left.Serial {
+		until = max(until, own.Until)
+	}
 	if m.Call.Kind == coordination.BeatLock {
 		if own.Until > w.Tick && own.Fence == m.Call.Fence {
-			own.Until = max(own.Until, until)
+			own.Until = until
 		}
 	} else {
 		if m.Answer.Fence <= m.Seen {
 			return broken.New("fence %d to %d after %d to the other", m.Answer.Fence, m.Caller, m.Seen)
 		}
-		own.Fence, own.Until = m.Answer.Fence, max(own.Until, until)
+		own.Fence, own.Until = m.Answer.Fence, until
 	}
 	if own.Until > w.Tick && other.Until > w.Tick {
 		return broken.New("both hold the lock at tick %d, until %d and %d", w.Tick, own.Until, other.Until)
@@ -278,50 +309,6 @@
 	return nil
 }
 
-func search(faults modelFaults, left budget, states int) modelcheck.Result[move] {
-	return modelcheck.Run(modelcheck.Model[world, move]{
-		First:   world{Left: left},
-		Actions: world.moves,
-		Take:    func(w world, step move) (world, error) { return w.take(step, faults) },
-		Fingerprint: func(w world) uint64 {
-			sum := fnv.New64a()
-			_, _ = sum.Write(w.bytes()) // a hash takes all
-			return sum.Sum64()
-		},
-	}, modelcheck.Bounds{States: states})
-}
-
-// bytes tells worlds apart.
-func (w world) bytes() []byte {
-	b := []byte{byte(w.Tick), byte(w.Term), byte(w.Left.Asks), byte(w.Left.Beats), byte(w.Left.Ends), byte(w.Left.Changes), byte(w.Left.Losses), byte(w.Left.Shorts)}
-	for _, c := range w.Callers {
-		b = append(b, byte(c.Fence), byte(c.Until))
-	}
-	var messages []string
-	for _, m := range w.Messages {
-		messages = append(messages, string(m.bytes()))
-	}
-	slices.Sort(messages) // which was sent first makes no difference
-	b = append(append(b, strings.Join(messages, "")...), 255)
-	for _, e := range w.Log {
-		b = append(append(b, e.Message.bytes()...), byte(e.When[0]), byte(e.When[1]))
-	}
-	return b
-}
-
-func (m message) bytes() []byte {
-	return []byte{m.Stage[0], byte(m.Caller), byte(m.Call.Kind), byte(m.Call.Fence), byte(m.Sent), byte(m.At), byte(m.Lapsed),
-		byte(m.Answer.Status), byte(m.Answer.Fence), byte(m.Seen), byte(m.Call.HoldMS >> 2)}
-}
-
-// statesOf bounds a search: a short one in CI, a long one with LAB_LONG.
-func statesOf(short int) int {
-	if os.Getenv("LAB_LONG") != "" {
-		return 2_000_000
-	}
-	return short
-}
-
 func TestNoOrderOfEventsGivesALockToTwo(t *testing.T) {
 	for name, left := range map[string]budget{
 		"two ask, a renewal, another leader": {Asks: 2, Beats: 1, Changes: 1},
--- a/internal/control/coordination/state.go
+++ b/internal/control/coordination/state.go
@@ -19,6 +19,7 @@
 	ForgetPuts   bool // a put that comes again is not recognised
 	ShortenHolds bool // a grant for less time ends those before it
 	KeepFence    bool // the owner that asks again keeps its fence, so that a late Finish ends the later holding
+	TrustSilence bool // a grant that its owner has not repeated within a second is taken for received: it ends those before it
 }
 
 // State is the state of one partition. Use New.
--- a/internal/control/member/coordmachine.go
+++ b/internal/control/member/coordmachine.go
@@ -25,7 +25,7 @@
 func newCoordinationMachine(now func() time.Duration, log zerolog.Logger, faults coordination.Faults) *coordinationMachine {
 	return &coordinationMachine{
 		state:   coordination.NewBroken(faults),
-		ages:    coordination.NewAges(),
+		ages:    coordination.NewBrokenAges(faults),
 		now:     now,
 		log:     log,
 		waiters: newWaiters(),
--- a/internal/fleettest/application.go
+++ b/internal/fleettest/application.go
@@ -16,6 +16,8 @@
 	fleet *Fleet
 	http  *http.Client
 	notes *coordinationNotes
+	// loses tells whether the next answer is lost on its way, after the call took effect; nil: none is.
+	loses func() bool
 }
 
 // applicationWait is how long an application waits for the answer to a call that does not queue.
@@ -62,6 +64,10 @@
 		return reply{}
 	}
 	defer func() { _ = response.Body.Close() }() // it was read
+	if a.loses != nil && a.loses() {
+		<-ctx.Done()
+		return reply{}
+	}
 	var answer reply
 	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
 		return reply{}
--- a/internal/fleettest/coordination_test.go
+++ b/internal/fleettest/coordination_test.go
@@ -139,15 +139,15 @@
 	})
 }
 
-// anyHold draws how long a call asks for a lock: each call has its own time.
-func anyHold() time.Duration { return testHold / time.Duration(1+rand.IntN(4)) }
+// anyHold draws how long a call asks for a lock, at most for so long: each call has its own time.
+func anyHold(longest time.Duration) time.Duration { return longest / time.Duration(1+rand.IntN(4)) }
 
 // useLock has an application hold a lock again and again, renew it, end it, die with it or sleep past its time.
-func useLock(f *Fleet, a *Application, until time.Duration) {
+func useLock(f *Fleet, a *Application, longest, until time.Duration) {
 	for f.Now() < until {
 		time.Sleep(time.Duration(rand.IntN(150)) * time.Millisecond)
 		lock := fmt.Sprint("l", rand.IntN(2))
-		got := a.Start(f.anyControl(), lock, anyHold())
+		got := a.Start(f.anyControl(), lock, anyHold(longest))
 		if got.Status != http.StatusOK {
 			continue
 		}
@@ -156,7 +156,7 @@
 			if f.Now() >= a.notes.until(a, lock, got.Fence) {
 				break
 			}
-			a.Beat(f.anyControl(), lock, got.Fence, anyHold())
+			a.Beat(f.anyControl(), lock, got.Fence, anyHold(longest))
 		}
 		if rand.IntN(3) > 0 {
 			a.Finish(f.anyControl(), lock, got.Fence)
@@ -201,18 +201,32 @@
 	}
 }
 
+// lostAnswers is how many answers of drawn histories come to one that is lost.
+const lostAnswers = 10
+
+// losingApplication returns an application that some answers do not reach.
+func losingApplication(f *Fleet, owner string, notes *coordinationNotes) *Application {
+	application := f.newApplication(owner, notes)
+	application.loses = func() bool { return rand.IntN(lostAnswers) == 0 }
+	return application
+}
+
 // drawCoordination has applications go on while troubles come over the control members, and returns what was broken.
-func drawCoordination(t *testing.T, faults member.Faults) (fault string) {
+func drawCoordination(t *testing.T, faults member.Faults) string {
+	return drawCoordinationWith(t, faults, testHold)
+}
+
+func drawCoordinationWith(t *testing.T, faults member.Faults, longest time.Duration) (fault string) {
 	runAlone(t, coordinationPlan(faults), func(c *qt.C, f *Fleet) {
 		notes := newCoordinationNotes()
 		time.Sleep(2 * time.Second)
 		end := f.Now() + historyTime
 		var running sync.WaitGroup
 		for i := range 3 {
-			running.Go(func() { useLock(f, f.newApplication(fmt.Sprint("l", i), notes), end) })
-			running.Go(func() { useKeys(f, f.newApplication(fmt.Sprint("k", i), notes), end) })
+			running.Go(func() { useLock(f, losingApplication(f, fmt.Sprint("l", i), notes), longest, end) })
+			running.Go(func() { useKeys(f, losingApplication(f, fmt.Sprint("k", i), notes), end) })
 		}
-		running.Go(func() { useWatch(f, f.newApplication("w", notes), end) })
+		running.Go(func() { useWatch(f, losingApplication(f, "w", notes), end) })
 		names := injectTroubles(f, end-4*time.Second)
 		running.Wait()
 		last := f.newApplication("last", notes)
@@ -221,7 +235,7 @@
 		}
 		f.anyClear("a number", func(at *Control) reply { return last.Number(at, "n") })
 		f.anyClear("a watch", func(at *Control) reply { return last.Watch(at, "g.", 1, 0) })
-		time.Sleep(2 * testHold)
+		time.Sleep(2 * longest)
 		for i := range 2 {
 			got := f.anyClear("a lock", func(at *Control) reply { return last.Start(at, fmt.Sprint("l", i), testHold) })
 			c.Check(got.Status, qt.Equals, http.StatusOK)
@@ -249,6 +263,56 @@
 	}, drawCoordination)
 }
 
+// longHold is longer than a caller waits for an answer.
+const longHold = 5 * time.Second
+
+// A member that guesses that an answer arrived is found with holds that are longer than callers wait for answers.
+func TestCoordinationHistoriesFindMembersThatGuess(t *testing.T) {
+	t.Parallel()
+	brokenMembersAreFound(t, map[string]member.Faults{
+		"silence of a second is trusted": {Coordination: coordination.Faults{TrustSilence: true}},
+	}, func(t *testing.T, faults member.Faults) string { return drawCoordinationWith(t, faults, longHold) })
+}
+
+// drawUnheardRenewals has a caller renew a long hold for a short time while no member's answer reaches it, and another ask
+// for the lock all the time. It returns what was broken.
+func drawUnheardRenewals(t *testing.T, faults member.Faults) (fault string) {
+	runAlone(t, coordinationPlan(faults), func(c *qt.C, f *Fleet) {
+		notes := newCoordinationNotes()
+		holder, other := f.newApplication("holder", notes), f.newApplication("other", notes)
+		held := f.anyClear("a lock", func(at *Control) reply { return holder.Start(at, "l", longHold) })
+		c.Assert(held.Status, qt.Equals, http.StatusOK)
+		holder.loses = func() bool { return true }
+		got := make(chan reply, 1)
+		go func() {
+			got <- f.anyClear("the lock", func(at *Control) reply {
+				asked := other.Start(at, "l", testHold)
+				if asked.Status == http.StatusConflict {
+					return reply{}
+				}
+				return asked
+			})
+		}()
+		// The second renewal is sent a second after the first; then the holder sleeps.
+		for _, control := range f.Controls[:2] {
+			c.Assert(holder.Beat(control, "l", held.Fence, testHold/3).Status, qt.Equals, 0)
+		}
+		c.Assert((<-got).Status, qt.Equals, http.StatusOK)
+		fault = notes.judge()
+	})
+	return fault
+}
+
+// Guards against a lock that is given to a second caller while the first, who has heard nothing of its renewals for less
+// time, still counts on the first grant (docs/incidents/shortened-lock.md).
+func TestLockOutlastsRenewalsWhoseAnswersAreLost(t *testing.T) {
+	nothingIsBroken(t, 1, drawUnheardRenewals)
+	brokenMembersAreFound(t, map[string]member.Faults{
+		"renewals shorten holdings":      {Coordination: coordination.Faults{ShortenHolds: true}},
+		"silence of a second is trusted": {Coordination: coordination.Faults{TrustSilence: true}},
+	}, drawUnheardRenewals)
+}
+
 // Fences, numbers and keys go on above all that was given after the partitions were restored from one disk.
 func TestApplicationsGoOnAfterARestoreFromOneDisk(t *testing.T) {
 	Run(t, coordinationPlan(member.Faults{}), func(c *qt.C, f *Fleet) {
