--- a/cmd/sumalab/joint.go
+++ b/cmd/sumalab/joint.go
@@ -12,9 +12,9 @@
 )
 
 type jointLine struct {
-	Seed  uint64  `help:"The first seed: of the clerks, and of which site is lost." default:"1"`
+	Seed  uint64  `help:"The first seed: of the interactive requests, and of which site is lost." default:"1"`
 	Count int     `help:"How many days of each kind." default:"1"`
-	Rate  float64 `help:"What clerks ask a second." default:"90"`
+	Rate  float64 `help:"Interactive requests per second." default:"90"`
 	Days  string  `help:"Which days: with the tables, without, or both, one after the other." enum:"with,without,both" default:"both"`
 	Until string  `help:"End the day after this phase, as 'it returns'."`
 	Files bool    `help:"Keep the files and logs of all fleets."`
@@ -58,11 +58,11 @@
 		return lab.JointReport{}, err
 	}
 	if l.Files {
-		told("files and logs: " + dir)
+		printProgress("files and logs: " + dir)
 	} else {
 		defer done()
 	}
-	o := lab.JointDayOptions{Options: lab.Options{Dir: dir, Bin: l.Bin, Seed: seed}, Without: without, Rate: l.Rate, Until: l.Until, Said: told}
+	o := lab.JointDayOptions{Options: lab.Options{Dir: dir, Bin: l.Bin, Seed: seed}, Without: without, Rate: l.Rate, Until: l.Until, Progress: printProgress}
 	if l.Broken != "" {
 		o.Env = []string{"SUMACLOFT_BROKEN=" + l.Broken}
 	}
--- a/cmd/sumalab/main.go
+++ b/cmd/sumalab/main.go
@@ -326,8 +326,8 @@
 	return dir, func() { _ = os.RemoveAll(dir) }, err
 }
 
-// told shows how far long work has come.
-func told(text string) { fmt.Fprintln(os.Stderr, text) }
+// printProgress prints the progress of a long run to standard error.
+func printProgress(text string) { fmt.Fprintln(os.Stderr, text) }
 
 type measureLine struct {
 	Changes int `help:"How many changes with each trouble." default:"30"`
@@ -342,7 +342,7 @@
 		return err
 	}
 	defer done()
-	list, err := lab.MeasurePolicy(ctx, lab.Options{Dir: dir, Bin: l.Bin, LeaseS: l.LeaseS}, l.Changes, told)
+	list, err := lab.MeasurePolicy(ctx, lab.Options{Dir: dir, Bin: l.Bin, LeaseS: l.LeaseS}, l.Changes, printProgress)
 	if err != nil {
 		return err
 	}
@@ -369,7 +369,7 @@
 		return err
 	}
 	defer done()
-	list, err := lab.MeasureWork(ctx, lab.Options{Dir: dir, Bin: l.Bin, LeaseS: 3}, l.Runs, l.Span, told)
+	list, err := lab.MeasureWork(ctx, lab.Options{Dir: dir, Bin: l.Bin, LeaseS: 3}, l.Runs, l.Span, printProgress)
 	if err != nil {
 		return err
 	}
--- a/cmd/sumalab/site.go
+++ b/cmd/sumalab/site.go
@@ -130,7 +130,7 @@
 	if l.NoPlan {
 		plan = ""
 	}
-	day, err := lab.LoseASite(ctx, lab.Options{Dir: dir, Bin: l.Bin, Seed: l.Seed}, plan, told)
+	day, err := lab.LoseASite(ctx, lab.Options{Dir: dir, Bin: l.Bin, Seed: l.Seed}, plan, printProgress)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/copyrun.go
+++ b/internal/lab/copyrun.go
@@ -174,8 +174,8 @@
 	}
 	clear(r.shut)
 	return r.see("no drain by hand", func(s *outage.State) bool {
-		for thing, p := range s.Permits {
-			if _, name := outage.Split(thing); p.For == outage.ByHand && !p.Serve {
+		for target, p := range s.Permits {
+			if _, name := outage.Split(target); p.For == outage.ByHand && !p.Serve {
 				r.Ctl(r.ctx, r.memberDesks(), "serve", name)
 			}
 		}
--- a/internal/lab/deployer.go
+++ b/internal/lab/deployer.go
@@ -25,7 +25,7 @@
 func (f *OutageFleet) Deploy(ctx context.Context) {
 	var all sync.WaitGroup
 	defer all.Wait()
-	began := map[string]int64{} // by thing: the permit that it was last replaced under
+	began := map[string]int64{} // by target: the permit that it was last replaced under
 	var mu sync.Mutex
 	busy := map[string]bool{}
 	for ctx.Err() == nil {
@@ -45,20 +45,20 @@
 			continue
 		}
 		mu.Lock()
-		for thing, p := range s.Permits {
-			if busy[thing] || p.Stage != outage.Acknowledged || p.For == outage.ByHand || began[thing] == p.ID && f.runs(thing) || f.beyond(thing) {
+		for target, p := range s.Permits {
+			if busy[target] || p.Stage != outage.Acknowledged || p.For == outage.ByHand || began[target] == p.ID && f.runs(target) || f.unrecoverable(target) {
 				continue
 			}
-			busy[thing] = true
+			busy[target] = true
 			all.Add(1)
 			go func() {
 				defer all.Done()
-				did := f.replace(ctx, thing, p.ID)
+				did := f.replace(ctx, target, p.ID)
 				mu.Lock()
 				defer mu.Unlock()
-				busy[thing] = false
+				busy[target] = false
 				if did {
-					began[thing] = p.ID
+					began[target] = p.ID
 				}
 			}()
 		}
@@ -66,62 +66,62 @@
 	}
 }
 
-func (f *OutageFleet) runs(thing string) bool {
-	kind, name := outage.Split(thing)
+func (f *OutageFleet) runs(target string) bool {
+	kind, name := outage.Split(target)
 	if kind == outage.Router {
 		return f.Daemon(name).Running()
 	}
 	return f.servers[f.place(name)].running()
 }
 
-// beyond tells whether the deployer can do nothing to a thing: it will never come back, or its site is lost.
-func (f *OutageFleet) beyond(thing string) bool {
+// unrecoverable tells whether the deployer can do nothing to a target: it will never come back, or its site is lost.
+func (f *OutageFleet) unrecoverable(target string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, name := outage.Split(thing)
-	return f.dead[name] || f.gone[f.siteOf(thing)]
+	_, name := outage.Split(target)
+	return f.dead[name] || f.gone[f.siteOf(target)]
 }
 
-func (f *OutageFleet) siteOf(thing string) string {
-	kind, name := outage.Split(thing)
+func (f *OutageFleet) siteOf(target string) string {
+	kind, name := outage.Split(target)
 	if kind == outage.Server {
 		return f.o.site(f.place(name), len(f.servers))
 	}
 	return f.o.site(slices.Index(f.Daemons, f.Daemon(name)), len(f.Daemons))
 }
 
-// unless starts a thing if its site is not lost by now; false: it is.
-func (f *OutageFleet) unless(thing string, start func() error) bool {
+// startUnlessLost starts a target if its site is not lost by now; false: it is.
+func (f *OutageFleet) startUnlessLost(target string, start func() error) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.gone[f.siteOf(thing)] {
+	if f.gone[f.siteOf(target)] {
 		return false
 	}
 	if err := start(); err != nil {
-		f.wrong = append(f.wrong, fmt.Sprintf("start %s: %v", thing, err))
+		f.wrong = append(f.wrong, fmt.Sprintf("start %s: %v", target, err))
 	}
 	return true
 }
 
-// order reads a thing's permit, with the label that it is to come back with; false: it is not to be stopped under that
+// order reads a target's permit, with the label that it is to come back with; false: it is not to be stopped under that
 // permit, or not now.
-func (f *OutageFleet) order(ctx context.Context, thing string, permit int64) (outage.Permit, bool) {
+func (f *OutageFleet) order(ctx context.Context, target string, permit int64) (outage.Permit, bool) {
 	var s *outage.State
 	if !until(ctx, within, func() bool { s = f.State(ctx); return s != nil }) {
 		return outage.Permit{}, false
 	}
-	p, out := s.Permits[thing]
+	p, out := s.Permits[target]
 	return p, out && p.ID == permit && p.Stage == outage.Acknowledged
 }
 
 // watched is for how long the deployer looks whether something new comes to a server that it is about to stop.
 const watched = 150 * time.Millisecond
 
-// replace stops a thing and starts it with the label that its permit names by then; false: nothing was done.
-func (f *OutageFleet) replace(ctx context.Context, thing string, permit int64) bool {
-	kind, name := outage.Split(thing)
+// replace stops a target and starts it with the label that its permit names by then; false: nothing was done.
+func (f *OutageFleet) replace(ctx context.Context, target string, permit int64) bool {
+	kind, name := outage.Split(target)
 	if kind == outage.Router {
-		p, clear := f.order(ctx, thing, permit)
+		p, clear := f.order(ctx, target, permit)
 		if !clear {
 			return false
 		}
@@ -132,7 +132,7 @@
 		if err := relabel(d.file, p.To); err != nil {
 			f.fault("relabel %s: %v", name, err)
 		}
-		f.unless(thing, func() error { return f.Start(d) })
+		f.startUnlessLost(target, func() error { return f.Start(d) })
 		f.mu.Lock()
 		f.replaced++
 		f.mu.Unlock()
@@ -154,7 +154,7 @@
 		time.Sleep(watch)
 		late = lines(sv.log) - before
 	}
-	p, clear := f.order(ctx, thing, permit) // read after the count: so it stood all the while
+	p, clear := f.order(ctx, target, permit) // read after the count: so it stood all the while
 	if !clear {
 		return false
 	}
@@ -178,7 +178,7 @@
 	if manner == "never" {
 		return true
 	}
-	if now, clear := f.order(ctx, thing, permit); clear {
+	if now, clear := f.order(ctx, target, permit); clear {
 		p = now
 	} else if ctx.Err() == nil {
 		f.fault("permit %d ended while %s was stopped under it", permit, name)
@@ -187,7 +187,7 @@
 		p.To = p.Label
 	}
 	f.Serve(ctx, i, p.To)
-	if manner == "twice" && until(ctx, within, func() bool { _, clear := f.order(ctx, thing, permit); return !clear }) { // it was seen back
+	if manner == "twice" && until(ctx, within, func() bool { _, clear := f.order(ctx, target, permit); return !clear }) { // it was seen back
 		sv.end(syscall.SIGTERM)
 		f.Serve(ctx, i, p.To)
 	}
@@ -201,7 +201,7 @@
 // Serve starts a server that does not run, with a label, and says so in every router's list.
 func (f *OutageFleet) Serve(ctx context.Context, i int, label string) {
 	sv := f.servers[i]
-	if !f.unless(outage.ID(outage.Server, serverName(i)), func() error {
+	if !f.startUnlessLost(outage.ID(outage.Server, serverName(i)), func() error {
 		sv.more = append([]string{"--warm", "500ms"}, f.o.Emulated...) // well within the plan's warm_ms: what is cold is slow, and would be taken for a bad version
 		program, _ := labelled(label)
 		if part := f.bad[program]; part != "" {
@@ -244,8 +244,8 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.told != nil {
-		f.told(server, started)
+	if f.onServerStart != nil {
+		f.onServerStart(server, started)
 	}
 	return nil
 }
--- a/internal/lab/joint.go
+++ b/internal/lab/joint.go
@@ -17,14 +17,14 @@
 	Options
 	// Without has the day run without the tables that are under proof: what goes through the fleet goes by a script and an
 	// operator's hand, which count nothing.
-	Without bool
-	Rate    float64       // requests a second; 0: JointRate
-	Until   string        // the day ends after this phase; "": the evening
-	Within  time.Duration // that each condition may take to come about; 0: dayWithin
-	Said    func(string)
+	Without  bool
+	Rate     float64       // requests a second; 0: JointRate
+	Until    string        // the day ends after this phase; "": the evening
+	Within   time.Duration // that each condition may take to come about; 0: dayWithin
+	Progress func(string)
 }
 
-// JointRate is what clerks ask a second: less than half of what six of the nine servers carry.
+// JointRate is the rate of interactive requests per second: less than half of what six of the nine servers carry.
 const JointRate = 90
 
 // JointPhase is a part of the day, from one event to the next.
@@ -124,12 +124,12 @@
 }
 
 func (d *jointDay) say(format string, args ...any) {
-	if d.o.Said != nil {
-		d.o.Said(fmt.Sprintf("%6.1f s: ", d.load.now().Seconds()) + fmt.Sprintf(format, args...))
+	if d.o.Progress != nil {
+		d.o.Progress(fmt.Sprintf("%6.1f s: ", d.load.now().Seconds()) + fmt.Sprintf(format, args...))
 	}
 }
 
-// CarryJoint runs a day: new weights and a new program go through the fleet while clerks ask, a site is lost in the midst
+// CarryJoint runs a day: new weights and a new program go through the fleet under interactive requests, a site is lost in the midst
 // of it and returns, and a program that fails one request in four is met and taken back. An error says that the laboratory
 // failed or that something did not come about; what the fleet did wrong until then is in the report.
 func CarryJoint(ctx context.Context, o JointDayOptions) (JointReport, error) {
@@ -143,8 +143,8 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	d := &jointDay{outRun: &outRun{OutageFleet: f.OutageFleet, ctx: ctx}, o: o, site: siteNames[o.Seed%uint64(len(siteNames))], load: newJointLoad(f.SiteFleet, o.Seed)}
-	var clerks sync.WaitGroup
-	clerks.Go(func() { d.load.run(ctx, cmp.Or(o.Rate, JointRate)) })
+	var loading sync.WaitGroup
+	loading.Go(func() { d.load.run(ctx, cmp.Or(o.Rate, JointRate)) })
 	if o.Without {
 		err = d.pass(d.byHand())
 	} else {
@@ -153,7 +153,7 @@
 	}
 	end := d.load.now()
 	d.load.close() // what was asked is asked to its end, with all up
-	clerks.Wait()
+	loading.Wait()
 	if d.tables != nil {
 		d.tables.quiet()
 		defer d.tables.all.Wait()
--- a/internal/lab/joint_test.go
+++ b/internal/lab/joint_test.go
@@ -12,7 +12,7 @@
 	t.Helper()
 	ctx, done := context.WithTimeout(t.Context(), 6*time.Minute)
 	defer done()
-	o.Dir, o.Env, o.Said = logsIn(t), env, func(s string) { t.Log(s) }
+	o.Dir, o.Env, o.Progress = logsIn(t), env, func(s string) { t.Log(s) }
 	rep, err := CarryJoint(ctx, o)
 	inLogs(t, 6, o.Dir)
 	if err != nil && len(env) == 0 {
--- a/internal/lab/jointfleet.go
+++ b/internal/lab/jointfleet.go
@@ -77,7 +77,7 @@
 		return nil, err
 	}
 	f := &jointFleet{OutageFleet: outages, copies: &CopiesFleet{OutageFleet: outages}, tuning: &TuningFleet{OutageFleet: outages, liars: map[string]int64{}}, belief: newBelief()}
-	f.told = f.belief.started
+	f.onServerStart = f.belief.started
 	for i := range prompts {
 		f.copies.shared = append(f.copies.shared, prompt(i))
 	}
@@ -110,7 +110,7 @@
 	return f.tuning.tuned(ctx)
 }
 
-// jointTables is what runs beside the clerks where the tables are there: the deployer, the tuner, those who ask for samples.
+// jointTables is what runs beside the interactive requests where the tables are there: the deployer, the tuner, those who ask for samples.
 type jointTables struct {
 	f     *jointFleet
 	run   *tunRun
--- a/internal/lab/jointload.go
+++ b/internal/lab/jointload.go
@@ -15,7 +15,7 @@
 	"time"
 )
 
-// jointLoad are the clerks of a joint day. Who is refused comes again when he was told to; a filing comes again with its
+// jointLoad are the interactive clients of a joint day. Who is refused comes again when he was told to; a filing comes again with its
 // key until it has a final answer, also where a connection broke; a query that broke is asked once more.
 type jointLoad struct {
 	f      *SiteFleet
@@ -31,7 +31,7 @@
 	opens map[string]opened
 	cut   []cut
 	off   map[string]bool // routers that were ended with no time to answer
-	sick  map[string]bool // routers whose health check fails: clerks come through a balancer that looks at it
+	sick  map[string]bool // routers whose health check fails: clients come through a balancer that looks at it
 	wrong []string
 }
 
@@ -88,7 +88,7 @@
 	l.off[router] = is
 }
 
-// run has clerks ask until the day is closed, and waits until all have their answers.
+// run has clients ask until the day is closed, and waits until all have their answers.
 func (l *jointLoad) run(ctx context.Context, rate float64) {
 	defer l.client.CloseIdleConnections()
 	rng := rand.New(rand.NewPCG(l.seed, 0x301))
@@ -135,7 +135,7 @@
 	return fmt.Sprint("once-", n)
 }
 
-// patience is how long a filing is asked again until its clerk gives up, which is a fault.
+// patience is how long a filing is asked again until its client gives up, which is a fault.
 const patience = 30 * time.Second
 
 // ask is one request to its end.
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -70,23 +70,6 @@
 	return rep
 }
 
-// logsIn is where a fleet's files and logs stand: under LAB_LOGS where that is set, so that they outlive a test.
-func logsIn(t *testing.T) string {
-	t.Helper()
-	kept := os.Getenv("LAB_LOGS")
-	if kept == "" {
-		return t.TempDir()
-	}
-	if err := os.MkdirAll(kept, 0o700); err != nil {
-		t.Fatal(err)
-	}
-	dir, err := os.MkdirTemp(kept, strings.ReplaceAll(t.Name(), "/", "-")+"-")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return dir
-}
-
 // inLogs looks for what must be in no daemon's log.
 func inLogs(t *testing.T, daemons int, dir string) {
 	t.Helper()
--- a/internal/lab/mixed.go
+++ b/internal/lab/mixed.go
@@ -95,11 +95,11 @@
 	m := &mixed{outRun: &outRun{OutageFleet: f.OutageFleet, ctx: ctx}, joint: f, next: next, rep: &rep}
 	tables := f.tables(ctx, o.Seed)
 	asking, stop := context.WithCancel(ctx)
-	var clerks sync.WaitGroup
-	clerks.Go(func() { f.copies.Ask(asking, o.Seed) })
+	var loading sync.WaitGroup
+	loading.Go(func() { f.copies.Ask(asking, o.Seed) })
 	err = m.carry()
 	stop()
-	clerks.Wait()
+	loading.Wait()
 	tables.quiet()
 	var day JointReport
 	if ended := tables.end(ctx, &day); err == nil {
--- a/internal/lab/outage.go
+++ b/internal/lab/outage.go
@@ -44,11 +44,11 @@
 // replaces what the fleet has let out.
 type OutageFleet struct {
 	*SiteFleet
-	dir, bin string
-	kv       *etcd.Client
-	bad      map[string]string                       // by label: the part of requests that its version fails
-	args     func(server int, label string) []string // more arguments of a server that is started with a label; nil: none
-	told     func(server string, started float64)    // has each start that stands in the lists, in ms, with mu held; nil: nobody asks
+	dir, bin      string
+	kv            *etcd.Client
+	bad           map[string]string                       // by label: the part of requests that its version fails
+	args          func(server int, label string) []string // more arguments of a server that is started with a label; nil: none
+	onServerStart func(server string, started float64)    // called with mu held for each start in the lists, in ms; nil: unused
 
 	mu       sync.Mutex
 	off      bool            // the deployer does nothing
--- a/internal/lab/outage_test.go
+++ b/internal/lab/outage_test.go
@@ -27,7 +27,7 @@
 	}
 	rep, err := CarryOutages(ctx, s, o)
 	if err != nil && broken == "" {
-		t.Fatalf("%v\n%s", err, s)
+		t.Fatalf("%v; found before that: %v\n%s", err, rep.Wrong, s)
 	} else if err != nil {
 		rep.Wrong = append(rep.Wrong, err.Error())
 	}
--- a/internal/lab/outrun.go
+++ b/internal/lab/outrun.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -39,8 +41,8 @@
 	away string // the site that was lost last as the leader's
 }
 
-// CarryOutages starts a fleet, carries out a schedule under load and judges what was seen. An error says that the
-// laboratory itself failed; what the fleet did wrong is in the report.
+// CarryOutages starts a fleet, carries out a schedule under load and judges what was seen, also if the schedule could not
+// be carried out to its end. An error says that the laboratory itself failed; what the fleet did wrong is in the report.
 func CarryOutages(ctx context.Context, s OutageSchedule, o Options) (OutageReport, error) {
 	began := time.Now()
 	rep := OutageReport{Seed: s.Seed}
@@ -70,48 +72,54 @@
 	deployed := make(chan struct{})
 	go func() { defer close(deployed); f.Deploy(deploying) }()
 	r := &outRun{OutageFleet: f, ctx: ctx}
-	err = r.carry(steps)
+	failed := r.carry(steps)
 	store, read := books()
 	stop()
 	<-deployed
-	clerks := <-ended
-	for _, a := range clerks {
+	requests := <-ended
+	for _, request := range requests {
 		rep.Requests++
-		if a.Status != 200 {
+		if request.Status != http.StatusOK {
 			rep.Failed++
 		}
 	}
+	rep.Store = store
+	err = errors.Join(failed, r.judge(&rep, requests))
+	rep.Wrong = append(rep.Wrong, read...)
+	rep.Took = time.Since(began)
+	return rep, err
+}
+
+// judge fills a report with what the history of the state, the fleet and the servers show.
+func (r *outRun) judge(rep *OutageReport, requests []Asked) error {
+	audit, err := r.Audit(r.ctx)
 	if err != nil {
-		return rep, err
+		return err
 	}
-	audit, err := f.Audit(ctx)
-	if err != nil {
-		return rep, err
+	rep.Permits, rep.Ended, rep.Halts, rep.Lost = audit.Permits, audit.Ended, audit.Halts, audit.Lost
+	rep.Wrong = append(audit.Faults, r.wrong...)
+	rep.Replaced, rep.Most = r.replaced, r.most
+	if state := r.State(r.ctx); state != nil && state.Release != nil {
+		rep.Phase = state.Release.Phase
 	}
-	ran, _, err := f.Ran()
+	ran, _, err := r.Ran()
 	if err != nil {
-		return rep, err
-	}
-	rep.Permits, rep.Ended, rep.Halts, rep.Lost = audit.Permits, audit.Ended, audit.Halts, audit.Lost
-	rep.Replaced, rep.Most = f.replaced, f.most
-	if st := f.State(ctx); st != nil && st.Release != nil {
-		rep.Phase = st.Release.Phase
+		return err
 	}
-	rep.Store, rep.Wrong = store, append(append(append(audit.Faults, f.wrong...), overrun(clerks, ran)...), read...)
-	rep.Took = time.Since(began)
-	return rep, nil
+	rep.Wrong = append(rep.Wrong, overrun(requests, ran)...)
+	return nil
 }
 
 // overrun are requests that ran more often than they may: a query at most three times each time that its client asked (a refused
 // one comes again, and a safe one may be refused after it was tried), a filing once, however often.
-func overrun(list []Asked, ran map[string]int) (wrong []string) {
-	for _, a := range list {
+func overrun(requests []Asked, ran map[string]int) (wrong []string) {
+	for _, request := range requests {
 		most := 1
-		if a.Class == "query" {
-			most = 3 * a.Times
+		if request.Class == "query" {
+			most = 3 * request.Times
 		}
-		if ran[a.ID] > most {
-			wrong = append(wrong, fmt.Sprintf("request %s, a %s asked %d times, ran %d times", a.ID, a.Class, a.Times, ran[a.ID]))
+		if ran[request.ID] > most {
+			wrong = append(wrong, fmt.Sprintf("request %s, a %s asked %d times, ran %d times", request.ID, request.Class, request.Times, ran[request.ID]))
 		}
 	}
 	return wrong
@@ -164,14 +172,14 @@
 	}
 	r.reviveAll()
 	if err := r.see("the end", func(s *outage.State) bool {
-		for thing, p := range s.Permits {
+		for target, p := range s.Permits {
 			if p.For == outage.ByHand && !p.Serve {
-				_, name := outage.Split(thing)
+				_, name := outage.Split(target)
 				r.Ctl(r.ctx, r.memberDesks(), "serve", name)
 			}
 		}
-		for thing := range s.PermitRequests {
-			_, name := outage.Split(thing)
+		for target := range s.PermitRequests {
+			_, name := outage.Split(target)
 			r.Ctl(r.ctx, r.memberDesks(), "serve", name)
 		}
 		if s.Release.Phase == outage.Halted {
@@ -244,7 +252,7 @@
 func (r *outRun) reviveAll() {
 	for i, sv := range r.servers {
 		s := r.State(r.ctx)
-		if s == nil || sv.running() || r.beyond(outage.ID(outage.Server, serverName(i))) {
+		if s == nil || sv.running() || r.unrecoverable(outage.ID(outage.Server, serverName(i))) {
 			continue
 		}
 		if p, out := s.Permits[outage.ID(outage.Server, serverName(i))]; out && p.For != outage.ByHand {
--- a/internal/lab/outsteps.go
+++ b/internal/lab/outsteps.go
@@ -251,7 +251,7 @@
 // whole tells whether every server runs that is not gone for good.
 func (r *outRun) whole() bool {
 	for i, sv := range r.servers {
-		if !sv.running() && !r.beyond(outage.ID(outage.Server, serverName(i))) {
+		if !sv.running() && !r.unrecoverable(outage.ID(outage.Server, serverName(i))) {
 			return false
 		}
 	}
@@ -261,16 +261,16 @@
 // site tells whether all servers of a site are out, or none of its servers and routers is lost.
 func (r *outRun) site(s *outage.State, site string, out bool) bool {
 	for i := range r.servers {
-		thing := outage.ID(outage.Server, serverName(i))
-		_, lost := s.Lost[thing]
-		_, let := s.Permits[thing]
-		if r.siteOf(thing) == site && (out && !lost && !let || !out && lost) {
+		target := outage.ID(outage.Server, serverName(i))
+		_, lost := s.Lost[target]
+		_, let := s.Permits[target]
+		if r.siteOf(target) == site && (out && !lost && !let || !out && lost) {
 			return false
 		}
 	}
 	for _, d := range r.Daemons {
-		thing := outage.ID(outage.Router, d.Name)
-		if _, lost := s.Lost[thing]; r.siteOf(thing) == site && !out && lost {
+		target := outage.ID(outage.Router, d.Name)
+		if _, lost := s.Lost[target]; r.siteOf(target) == site && !out && lost {
 			return false
 		}
 	}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -42,7 +42,7 @@
 	history  []Op
 	wrong    []string
 	proposer *exec.Cmd
-	exits    map[string]told // by the proposal's note
+	exits    map[string]operatorResult // by the proposal's note
 
 	refused, lost atomic.Int64
 	last          string   // the note of the last proposal
@@ -50,8 +50,8 @@
 	proposals     sync.WaitGroup
 }
 
-// told is what a proposer's process told its operator.
-type told struct {
+// operatorResult is what a proposer's process told its operator.
+type operatorResult struct {
 	call, ret time.Duration
 	code      int // -1: killed
 }
@@ -77,7 +77,7 @@
 		return rep, err
 	}
 	defer f.Close()
-	r := &run{f: f, began: time.Now(), ctx: ctx, rep: &rep, exits: map[string]told{}}
+	r := &run{f: f, began: time.Now(), ctx: ctx, rep: &rep, exits: map[string]operatorResult{}}
 	load, stop := context.WithCancel(ctx)
 	defer stop()
 	var loading sync.WaitGroup
--- a/internal/lab/steps.go
+++ b/internal/lab/steps.go
@@ -137,7 +137,7 @@
 		"--note", note, "--wait", (2 * limit).String(), "--limit", limit.String(), path)
 	var out bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &out, &out
-	t := told{call: r.since()}
+	t := operatorResult{call: r.since()}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
--- a/internal/lab/tuning.go
+++ b/internal/lab/tuning.go
@@ -20,7 +20,7 @@
 	fleetsamples "sumacloft/internal/fleet/samples"
 )
 
-// TuningClasses are the classes of the fleets with tuning workers: samples are asked for beside what clerks ask.
+// TuningClasses are the classes of the fleets with tuning workers: samples are asked for beside interactive requests.
 const TuningClasses = SiteClasses + sampleClass
 
 const sampleClass = `[[chat.class]]
--- a/internal/lab/tuning_test.go
+++ b/internal/lab/tuning_test.go
@@ -30,7 +30,7 @@
 	return rep
 }
 
-// Each case over six routers, five members of the store and nine servers, with a tuner, a deployer and clerks of its own.
+// Each case over six routers, five members of the store and nine servers, with a tuner, a deployer and interactive clients of its own.
 func TestTuningHardCases(t *testing.T) {
 	bin := build(t, "")
 	for _, c := range []struct {
@@ -71,7 +71,7 @@
 	}
 }
 
-// What clerks are served beside samples, against the same schedule without any.
+// What interactive clients are served beside samples, against the same schedule without any.
 func TestTuningClerksGoFirst(t *testing.T) {
 	brief(t, true)
 	bin := build(t, "")
@@ -82,7 +82,7 @@
 		t.Error(w)
 	}
 	if part, alone := with.Worth/with.Wanted, without.Worth/without.Wanted; part < alone-0.03 {
-		t.Errorf("clerks are served %.3f of their worth beside samples, %.3f without", part, alone)
+		t.Errorf("interactive requests are served %.3f of their worth beside samples, %.3f without", part, alone)
 	}
 }
 
--- a/internal/lab/tunrun.go
+++ b/internal/lab/tunrun.go
@@ -40,7 +40,7 @@
 	Wrong    []string       `json:"violations,omitempty"`
 }
 
-// TuningRate is what clerks ask a second, TuningClients how many samples are asked for at once.
+// TuningRate is the rate of interactive requests per second, TuningClients how many samples are asked for at once.
 const (
 	TuningRate    = 60
 	TuningClients = 24
@@ -55,7 +55,7 @@
 	held  map[string]bool
 }
 
-// CarryTuning starts a fleet, carries out a schedule while clerks ask and clients ask for samples, so many at once, and
+// CarryTuning starts a fleet, carries out a schedule under interactive requests while clients ask for samples, so many at once, and
 // judges what was seen. An error says that the laboratory itself failed; what the fleet did wrong is in the report.
 func CarryTuning(ctx context.Context, s TuningSchedule, o Options, clients int) (TuningReport, error) {
 	began := time.Now()
@@ -79,9 +79,9 @@
 	defer quiet()
 	r := &tunRun{outRun: outRun{OutageFleet: f.OutageFleet, ctx: ctx}, t: f, steps: make(chan func(context.Context)), load: newRollouts(f, s.Seed, clients), held: map[string]bool{}}
 	var all, asked sync.WaitGroup
-	var clerks []Asked
+	var interactive []Asked
 	loaded := time.Now()
-	asked.Go(func() { clerks, _ = f.Load(asking, s.Seed, []Phase{{For: 10 * time.Minute, Rate: TuningRate}}) }) // ends with the schedule
+	asked.Go(func() { interactive, _ = f.Load(asking, s.Seed, []Phase{{For: 10 * time.Minute, Rate: TuningRate}}) }) // ends with the schedule
 	asked.Go(func() { r.load.run(ctx) })
 	all.Go(func() { f.Deploy(running) })
 	all.Go(func() { f.tuner.run(running, r.steps) })
@@ -100,7 +100,7 @@
 	if err != nil {
 		return rep, err
 	}
-	r.clerks(&rep, clerks, took)
+	r.judgeInteractive(&rep, interactive, took)
 	audit, err := f.Audit(ctx)
 	if err != nil {
 		return rep, err
@@ -122,8 +122,8 @@
 	return rep, nil
 }
 
-// clerks says what clerks met, and that no filing ran twice.
-func (r *tunRun) clerks(rep *TuningReport, list []Asked, took float64) {
+// judgeInteractive reports how interactive requests were served, and whether a filing ran twice.
+func (r *tunRun) judgeInteractive(rep *TuningReport, list []Asked, took float64) {
 	ran, _, err := r.Ran()
 	if err != nil {
 		r.fault("%v", err)
--- a/internal/lab/work.go
+++ b/internal/lab/work.go
@@ -136,7 +136,7 @@
 		return rep, err
 	}
 	defer f.Close()
-	r := &run{f: f, began: time.Now(), ctx: ctx, rep: &Report{}, exits: map[string]told{}}
+	r := &run{f: f, began: time.Now(), ctx: ctx, rep: &Report{}, exits: map[string]operatorResult{}}
 	w := &workers{f: f, statuses: map[string]int{}}
 	load, stop := context.WithCancel(ctx)
 	defer stop()
