--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test test-packages test-fleet test-laboratory lint run demo demo-sites demo-fleet demo-outage lab lab-bad lab-work lab-outage lab-copies lab-joint lab-tuning lab-large search search-control halts measure check help
+.PHONY: build test test-packages test-fleet test-laboratory test-overload lint run demo demo-sites demo-fleet demo-outage lab lab-bad lab-work lab-outage lab-copies lab-joint lab-tuning lab-large search search-control halts measure check help
 
 help: ## this list
 	@sed -n 's/^\([a-z-]*\):.*## /\1\t/p' Makefile
@@ -6,10 +6,10 @@
 build: ## the router, its tools and the adapter, into bin/
 	mkdir -p bin && go build -o bin/ ./cmd/...
 
-test: test-packages test-fleet test-laboratory ## all tests, with the race detector; with make -k all parts run also after one has failed
+test: test-packages test-fleet test-laboratory test-overload ## all tests, with the race detector; with make -k all parts run also after one has failed
 
 test-packages:
-	go test -race -count=1 $$(go list ./... | grep -v -e /internal/lab$$ -e /internal/fleettest$$)
+	go test -race -count=1 $$(go list ./... | grep -v -e /internal/lab$$ -e /internal/fleettest$$ -e /internal/overloadtest$$)
 
 test-fleet: # the detector crashes with timers of several threads in one synctest bubble
 	go test -count=1 ./internal/fleettest
@@ -17,6 +17,9 @@
 test-laboratory: # by itself: its fleets must not starve
 	go test -race -count=1 ./internal/lab
 
+test-overload: # by itself: other load changes what a crowd reaches; the processes under test run as in service
+	go test -count=1 -timeout 15m ./internal/overloadtest
+
 lint: ## format and vet
 	@unformatted=$$(gofmt -l .); [ -z "$$unformatted" ] || { echo "gofmt: $$unformatted"; exit 1; }
 	go vet ./...
