upstream, calls: a body is not copied on its way to a worker, answers are charged

A body of 4 MB that waited for a worker was held up to three times: as read, joined to its head, and copied from a string. Head and body are written one after the other now; only bodies up to 16 KiB are joined. An answer that is held whole is charged to its request, in room that doubles as bytes come.

--- a/internal/proxy/calls/job.go
+++ b/internal/proxy/calls/job.go
@@ -216,14 +216,14 @@
 // call writes the request to a worker with additional headers, given as alternating names and values. It writes nothing
 // if the job was cancelled or closed before. count runs under the lock just before the write.
 func (j *Job) call(ctx context.Context, worker core.Worker, kind traffic.Kind, clear func() error, headers []string, count func()) (*upstream.Answer, error) {
-	encode := func() ([]byte, error) {
+	encode := func() (upstream.Message, error) {
 		if err := clear(); err != nil {
-			return nil, err
+			return upstream.Message{}, err
 		}
 		j.mu.Lock()
 		defer j.mu.Unlock()
 		if j.closed {
-			return nil, core.ErrCancelled
+			return upstream.Message{}, core.ErrCancelled
 		}
 		count()
 		j.extraTaken = false
@@ -264,7 +264,7 @@
 		j.dropTicket()
 		return core.Reply{Stream: &Stream{Answer: answer, worker: worker.Name}}, nil
 	}
-	body, err := answer.Whole(maxBody)
+	body, err := answer.WholeFor(maxBody, j.request.Holder)
 	if notRun(answer) {
 		j.recordNotRun()
 		e := errorOf(answer)
--- a/internal/proxy/calls/request.go
+++ b/internal/proxy/calls/request.go
@@ -1,6 +1,7 @@
 package calls
 
 import (
+	"bytes"
 	"net/http"
 	"slices"
 	"strconv"
@@ -10,6 +11,8 @@
 	"github.com/zeebo/errs"
 
 	"sumacloft/brain"
+	"sumacloft/internal/inflight"
+	"sumacloft/internal/upstream"
 )
 
 // Error is the class of errors in clients' requests.
@@ -27,6 +30,7 @@
 	Terms    Terms
 	Class    int // index of the route in the lane's settings
 	Prompt   Prompt
+	Holder   *inflight.Holder // accounts for the request and for answers that are read whole; may be nil
 }
 
 // Terms are a route's settings for its requests.
@@ -101,11 +105,18 @@
 	}
 }
 
+const (
+	// headRoom is the room that an encoded head begins with.
+	headRoom = 1 << 10
+	// joinedBody is the size up to which a body is copied behind its head, so that one write sends both.
+	joinedBody = 16 << 10
+)
+
 // encode returns the request as sent to a worker, with the remaining time and the headers of this call.
-func (r *Request) encode(deadline time.Time, headers ...string) []byte {
+func (r *Request) encode(deadline time.Time, headers ...string) upstream.Message {
 	left := max(time.Until(deadline).Milliseconds(), 1)
-	var out strings.Builder
-	out.Grow(1024 + len(r.Body))
+	var out bytes.Buffer
+	out.Grow(headRoom + min(len(r.Body), joinedBody))
 	out.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header {
 		if slices.Contains(reservedHeaders, name) {
@@ -124,6 +135,9 @@
 		out.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	out.WriteString("\r\n")
+	if len(r.Body) > joinedBody {
+		return upstream.Message{Head: out.Bytes(), Body: r.Body}
+	}
 	out.Write(r.Body)
-	return []byte(out.String())
+	return upstream.Message{Head: out.Bytes()}
 }
--- a/internal/proxy/calls/request_test.go
+++ b/internal/proxy/calls/request_test.go
@@ -9,12 +9,15 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
 	"pgregory.net/rapid"
+	"sumacloft/internal/upstream"
 )
 
 // parsed returns an encoded request as a worker parses it.
-func parsed(c *qt.C, encoded []byte) *http.Request {
-	request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(encoded)))
+func parsed(c *qt.C, encoded upstream.Message) *http.Request {
+	whole := append(bytes.Clone(encoded.Head), encoded.Body...)
+	request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(whole)))
 	c.Assert(err, qt.IsNil)
 	return request
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"sumacloft/internal/core"
+	"sumacloft/internal/inflight"
 	"sumacloft/internal/mesh/traffic"
 )
 
@@ -42,22 +43,38 @@
 // once a connection is there and before anything is written; calls without it may use the spare sockets. Errors are *core.AttemptError; ctx's cause is
 // among what they wrap when that ended the exchange.
 func (p *Pool) Do(ctx context.Context, addr, method string, request []byte, clear func() error) (*Answer, error) {
-	return p.exchange(ctx, addr, method, traffic.Service, clear != nil, nil, func() ([]byte, error) {
+	return p.exchange(ctx, addr, method, traffic.Service, clear != nil, nil, func() (Message, error) {
 		if clear == nil {
-			return request, nil
+			return Message{Head: request}, nil
 		}
-		return request, clear()
+		return Message{Head: request}, clear()
 	})
 }
 
+// Message is a request as it is written: its head, and its body if that does not stand behind the head already.
+type Message struct{ Head, Body []byte }
+
+// size returns the length of the message in bytes.
+func (m Message) size() int { return len(m.Head) + len(m.Body) }
+
+// writeTo writes the message without copying its body.
+func (m Message) writeTo(w io.Writer) (n int, err error) {
+	n, err = w.Write(m.Head)
+	if err != nil || len(m.Body) == 0 {
+		return n, err
+	}
+	more, err := w.Write(m.Body)
+	return n + more, err
+}
+
 // DoAtWrite is Do for an attempt whose request tells what is true as it is written: its bytes are asked for once a
 // connection is there, and its bytes count under the kind. An error instead of them ends the exchange before anything is written. Connections that avoid, if
 // not nil, tells of by their numbers are not used: a late surplus answer to an exchange of the same request may come there.
-func (p *Pool) DoAtWrite(ctx context.Context, addr, method string, kind traffic.Kind, avoid func(connection uint64) bool, request func() ([]byte, error)) (*Answer, error) {
+func (p *Pool) DoAtWrite(ctx context.Context, addr, method string, kind traffic.Kind, avoid func(connection uint64) bool, request func() (Message, error)) (*Answer, error) {
 	return p.exchange(ctx, addr, method, kind, true, avoid, request)
 }
 
-func (p *Pool) exchange(ctx context.Context, addr, method string, kind traffic.Kind, attempt bool, avoid func(uint64) bool, bytes func() ([]byte, error)) (*Answer, error) {
+func (p *Pool) exchange(ctx context.Context, addr, method string, kind traffic.Kind, attempt bool, avoid func(uint64) bool, message func() (Message, error)) (*Answer, error) {
 	fail := func(stage core.Stage, err error) (*Answer, error) {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
@@ -68,7 +85,7 @@
 	if err != nil {
 		return fail(core.NotConnected, err)
 	}
-	request, err := bytes()
+	request, err := message()
 	if err != nil {
 		p.put(c)
 		return fail(core.NotConnected, err)
@@ -76,8 +93,8 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	began := time.Now()
 	c.kind = kind
-	c.meter.Add(kind, addr, len(request), 0)
-	if n, err := c.Write(request); err != nil {
+	c.meter.Add(kind, addr, request.size(), 0)
+	if n, err := request.writeTo(c); err != nil {
 		if resp, early := c.head(method); early == nil {
 			resp.Close = true // the rest of the request can't follow
 			return &Answer{Response: resp, pool: p, conn: c, stop: stop, ctx: ctx}, nil
@@ -85,7 +102,7 @@
 		stop()
 		c.discard()
 		err = p.stale.judge(c, began, err)
-		if n < len(request) {
+		if n < request.size() {
 			return fail(core.PartlyWritten, err)
 		}
 		return fail(core.Written, err)
@@ -127,9 +144,12 @@
 func (a *Answer) Small() ([]byte, error) { return a.Whole(maxSmall) }
 
 // Whole reads an answer of at most so many bytes and gives the connection back.
-func (a *Answer) Whole(most int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, most+1))
-	if err == nil && int64(len(body)) > most {
+func (a *Answer) Whole(most int64) ([]byte, error) { return a.WholeFor(most, nil) }
+
+// WholeFor is Whole for an answer whose bytes are charged to a holder as they come.
+func (a *Answer) WholeFor(most int64, holder *inflight.Holder) ([]byte, error) {
+	body, err := inflight.ReadBody(a.Body, a.ContentLength, most, holder)
+	if errors.Is(err, inflight.ErrTooLarge) {
 		err = fmt.Errorf("an answer of more than %d bytes", most)
 	}
 	if err == nil && a.unbounded() {
