proxy: bodies, heads and connections of clients are charged to one account

What callers saw: the proxy ended, or had no descriptor left. Cause: room for a body was made when it was announced, chunked bodies doubled unseen, heads became thirty times their bytes, and nothing capped connections; the ready port took heads of 1 MiB and waited for bodies without end. bounds moves out of proxy, as other servers use it next.

--- a/internal/proxy/bounds/bounds_test.go
+++ b/internal/bounds/bounds_test.go
@@ -14,8 +14,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"sumacloft/internal/bounds"
 	"sumacloft/internal/opconf"
-	"sumacloft/internal/proxy/bounds"
 )
 
 // pipeListener is a listener whose connections are in-memory pipes.
@@ -44,7 +44,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		limiter := bounds.New()
+		limiter := bounds.New(nil)
 		limiter.SetLimits(limits)
 		server := limiter.Server(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 			body, _ := io.ReadAll(request.Body)
@@ -219,7 +219,7 @@
 		defer func() { _ = clientEnd.Close() }()
 		listener := &pipeListener{incoming: make(chan net.Conn, 1), closed: make(chan struct{})}
 		listener.incoming <- &stalledConn{Conn: serverEnd, buffered: "GET /a HTTP/1.1\r\nHost: x\r\n\r\n"}
-		conn, err := bounds.New().Listen(listener).Accept()
+		conn, err := bounds.New(nil).Listen(listener).Accept()
 		c.Assert(err, qt.IsNil)
 		// When it reads after the deadline, then it reads the request.
 		n, err := conn.Read(make([]byte, 100))
--- a/internal/proxy/bounds/conn.go
+++ b/internal/bounds/conn.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"sumacloft/internal/inflight"
 	"sumacloft/internal/opconf"
 )
 
@@ -21,6 +22,8 @@
 	// lingerTimeout is how long the input of a refused client is still read, so that the client can read the answer.
 	// Closing a connection with unread bytes resets it.
 	lingerTimeout = 500 * time.Millisecond
+	// writeTimeout is how long a client may take to accept one write of an answer for which the handler sets no time.
+	writeTimeout = 15 * time.Second
 )
 
 // Answers to a head that exceeds a limit. No request has been taken from it.
@@ -29,6 +32,8 @@
 		"Connection: close\r\n\r\n431 Request Header Fields Too Large"
 	answerTooSlow = "HTTP/1.1 408 Request Timeout\r\nContent-Type: text/plain; charset=utf-8\r\n" +
 		"Connection: close\r\n\r\n408 Request Timeout"
+	answerNoRoom = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nRetry-After: 1\r\n" +
+		"Connection: close\r\n\r\n503 Service Unavailable: too many requests are open; retry later"
 )
 
 var (
@@ -36,6 +41,9 @@
 	errTooSlow  = errors.New("request head not complete within header_wait_ms")
 )
 
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
 // phase is the state of a connection between and during requests.
 type phase int
 
@@ -50,6 +58,7 @@
 type Conn struct {
 	net.Conn
 	limiter *Limiter
+	holder  *inflight.Holder
 
 	mu         sync.Mutex
 	limits     opconf.Limits
@@ -57,12 +66,16 @@
 	phaseStart time.Time // start of the phase
 	headBytes  int       // bytes received since the last request
 	extended   bool      // deadlineGrace has been granted
+	evicted    bool      // the connection makes room for others
+	writeLimit bool      // the handler has set a deadline for writes
+	answering  bool      // a part of the answer was written
+	readAhead  int64     // what the latest small read holds if it is part of the next head
 }
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.currentPhase() == serving {
-		return c.Conn.Read(p)
+		return c.readBody(p)
 	}
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendDeadline() {
@@ -74,9 +87,79 @@
 	if n > 0 && c.countHeadBytes(n) {
 		return 0, c.refuse(answerTooLarge, errTooLarge)
 	}
+	if holds := inflight.HeadBytes(p[:n]); n > 0 {
+		c.setReadAhead(holds)
+		if full := c.holder.Grow(holds); full != nil {
+			return 0, c.refuse(answerNoRoom, full)
+		}
+	}
+	return n, err
+}
+
+// readBody reads part of a body, which the handler charges. What net/http buffers may be the beginning of the next head.
+func (c *Conn) readBody(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if len(p) <= readAheadBytes && n > 0 {
+		c.setReadAhead(inflight.HeadBytes(p[:n]))
+	}
+	return n, err
+}
+
+func (c *Conn) setReadAhead(holds int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readAhead = holds
+}
+
+// Write implements net.Conn. While a write waits for the client, the connection may make room for others.
+func (c *Conn) Write(p []byte) (int, error) {
+	if !c.handlerLimitsWrites() {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails on a closed connection, as the write does
+	}
+	if !c.holder.Pinned() {
+		return c.Conn.Write(p)
+	}
+	c.startAnswer()
+	c.holder.Unpin()
+	n, err := c.Conn.Write(p)
+	if pinned := c.holder.Pin(); err == nil {
+		err = pinned
+	}
 	return n, err
 }
 
+func (c *Conn) startAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answering = true
+}
+
+func (c *Conn) handlerLimitsWrites() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writeLimit
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	c.writeLimit = !deadline.IsZero()
+	c.mu.Unlock()
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// evict makes room for others: a request whose body is being read is refused by its handler, any other connection is closed.
+func (c *Conn) evict(cause inflight.Cause) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evicted = true
+	if c.phase == serving && cause == inflight.NeedMemory && !c.answering {
+		_ = c.Conn.SetReadDeadline(longAgo) // fails on a closed connection, whose reads fail
+		return
+	}
+	_ = c.Conn.Close() // net/http finds it closed
+}
+
 func (c *Conn) currentPhase() phase {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -110,7 +193,7 @@
 func (c *Conn) requestStarted() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.headBytes = serving, 0
+	c.phase, c.headBytes, c.answering = serving, 0, false
 	_ = c.Conn.SetReadDeadline(time.Time{}) // fails on a closed connection, as the next read does
 }
 
@@ -118,8 +201,9 @@
 func (c *Conn) requestFinished() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.phaseStart, c.extended = idle, time.Now(), false
+	c.phase, c.phaseStart, c.extended, c.writeLimit = idle, time.Now(), false, false
 	c.setPhaseDeadline()
+	c.holder.Settle(c.readAhead)
 }
 
 // setLimits applies new limits to the connection.
@@ -146,7 +230,7 @@
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != serving {
+	if c.phase != serving || c.evicted {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(deadline)
@@ -155,6 +239,7 @@
 // refuse answers a head instead of net/http. It returns an error on which net/http closes the connection without an
 // answer of its own.
 func (c *Conn) refuse(answer string, cause error) error {
+	c.holder.Settle(0)
 	_ = c.Conn.SetDeadline(time.Now().Add(lingerTimeout))
 	if _, err := io.WriteString(c.Conn, answer); err == nil {
 		_ = c.CloseWrite()
@@ -174,5 +259,6 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.limiter.untrack(c)
+	c.holder.Close()
 	return c.Conn.Close()
 }
--- a/internal/proxy/front/body.go
+++ b/internal/proxy/front/body.go
@@ -7,20 +7,30 @@
 	"os"
 	"time"
 
+	"sumacloft/internal/bounds"
+	"sumacloft/internal/inflight"
 	"sumacloft/internal/opconf"
 	"sumacloft/internal/responseguard"
 )
 
-// lingerTimeout is how long the input of a refused client is still read, so that the client can read the answer.
-const lingerTimeout = 500 * time.Millisecond
+const (
+	// lingerTimeout is how long the input of a refused client is still read, so that the client can read the answer.
+	lingerTimeout = 500 * time.Millisecond
+	// defaultBodyBytes applies if the configuration sets no body_bytes.
+	defaultBodyBytes = 16 << 20
+)
 
-// readBody reads a request's complete body, within the limits and before the deadline.
+// readBody reads a request's complete body, within the limits and before the deadline, and charges it to the request's
+// holder.
 func readBody(w http.ResponseWriter, request *http.Request, limits opconf.Limits, deadline time.Time) ([]byte, error) {
 	if request.ContentLength == 0 {
 		return nil, nil
 	}
 	limit := int64(limits.BodyBytes)
-	if limit > 0 && request.ContentLength > limit {
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if request.ContentLength > limit {
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
 	reader := io.Reader(&pacedReader{
@@ -29,15 +39,10 @@
 		maxPause: limits.Quiet,
 		deadline: deadline,
 	})
-	if limit > 0 {
-		reader = responseguard.MaxBytesReader(w, io.NopCloser(reader), limit)
-	}
-	if request.ContentLength > 0 {
-		body := make([]byte, request.ContentLength)
-		_, err := io.ReadFull(reader, body)
-		return body, err
-	}
-	return io.ReadAll(reader)
+	reader = responseguard.MaxBytesReader(w, io.NopCloser(reader), limit)
+	body, err := inflight.ReadBody(reader, request.ContentLength, limit, bounds.Holder(request))
+	request.Trailer = nil // it is not passed on, and would be held with the request
+	return body, err
 }
 
 // pacedReader reads a body whose pauses may not exceed maxPause (0: no limit) and which must end before the deadline.
@@ -62,12 +67,14 @@
 }
 
 // refuseBody answers a request whose body was not received completely. The request has not run.
-func (f *Front) refuseBody(w http.ResponseWriter, err error) {
+func (f *Front) refuseBody(w http.ResponseWriter, holder *inflight.Holder, err error) {
 	w.Header().Set("Connection", "close")
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTimeout)) // fails on a closed connection
 	var large *http.MaxBytesError
 	switch {
-	case errors.As(err, &large):
+	case errors.Is(err, inflight.ErrFull), errors.Is(err, inflight.ErrEvicted), holder.Evicted():
+		bounds.RefuseNoRoom(w)
+	case errors.As(err, &large), errors.Is(err, inflight.ErrTooLarge):
 		f.writeAnswer(w, http.StatusRequestEntityTooLarge, "the body is larger than the configured body_bytes")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		f.writeAnswer(w, http.StatusRequestTimeout, "the body did not come in time")
--- a/internal/proxy/front/body_test.go
+++ b/internal/proxy/front/body_test.go
@@ -11,8 +11,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"sumacloft/internal/bounds"
 	"sumacloft/internal/opconf"
-	"sumacloft/internal/proxy/bounds"
 )
 
 // oneConn is a listener with a single connection.
@@ -43,7 +43,7 @@
 		c.Assert(err, qt.IsNil)
 		configuration.Limits.Quiet = quiet
 		configuration.Routes[0].GiveUp = giveUp
-		front := &Front{Bounds: bounds.New()}
+		front := &Front{Bounds: bounds.New(nil)}
 		front.SetRouting(&Routing{Table: configuration.Table(), Limits: configuration.Limits})
 		local, remote := net.Pipe()
 		server := front.Bounds.Server(front, nil)
--- a/internal/proxy/front/front.go
+++ b/internal/proxy/front/front.go
@@ -9,8 +9,9 @@
 	"sync/atomic"
 	"time"
 
+	"sumacloft/internal/bounds"
+	"sumacloft/internal/inflight"
 	"sumacloft/internal/opconf"
-	"sumacloft/internal/proxy/bounds"
 	"sumacloft/internal/proxy/calls"
 	"sumacloft/internal/proxy/lane"
 )
@@ -76,9 +77,17 @@
 		f.writeAnswer(w, http.StatusNotFound, "no such route")
 		return
 	}
+	holder := bounds.Holder(request)
 	body, err := readBody(w, request, routing.Limits, received.Add(route.GiveUp))
+	if err == nil {
+		err = holder.Grow(inflight.RequestBytes)
+	}
+	if err == nil {
+		err = holder.Pin() // from here on the request may run
+	}
 	if err != nil {
-		f.refuseBody(w, err)
+		inflight.DropHead(request)
+		f.refuseBody(w, holder, err)
 		return
 	}
 	service, class := f.chooseLane(routing, route)
@@ -87,6 +96,7 @@
 		return
 	}
 	call := f.newRequest(request, route, body, received, class)
+	call.Holder = holder
 	f.serve(w, request, route, service, call, received)
 }
 
--- a/internal/proxy/front/halfclosed_test.go
+++ b/internal/proxy/front/halfclosed_test.go
@@ -8,9 +8,9 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
 
+	"sumacloft/internal/bounds"
 	"sumacloft/internal/mesh/network"
 	"sumacloft/internal/opconf"
-	"sumacloft/internal/proxy/bounds"
 	"sumacloft/internal/proxy/budget"
 	"sumacloft/internal/proxy/calls"
 	"sumacloft/internal/proxy/front"
@@ -35,7 +35,7 @@
 	}, 1)
 	c.Cleanup(waiting.Stop)
 	waiting.Configure(configuration.Services[0], configuration.Routes, 1)
-	served := &front.Front{Calls: toWorkers, Bounds: bounds.New()}
+	served := &front.Front{Calls: toWorkers, Bounds: bounds.New(nil)}
 	served.SetRouting(&front.Routing{Table: configuration.Table(), Limits: configuration.Limits, Lanes: map[string]*lane.Lane{"plain": waiting}})
 	listener := standin.Listen(t)
 	server := served.Bounds.Server(served, nil)
--- a/internal/proxy/front/scene_test.go
+++ b/internal/proxy/front/scene_test.go
@@ -16,11 +16,11 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
 
+	"sumacloft/internal/bounds"
 	"sumacloft/internal/control/registry"
 	"sumacloft/internal/fleettest/memnet"
 	"sumacloft/internal/mesh/network"
 	"sumacloft/internal/opconf"
-	"sumacloft/internal/proxy/bounds"
 	"sumacloft/internal/proxy/budget"
 	"sumacloft/internal/proxy/calls"
 	"sumacloft/internal/proxy/front"
@@ -241,7 +241,7 @@
 	s.front.SetRouting(&front.Routing{Table: configuration.Table(), Limits: configuration.Limits, Lanes: lanes})
 	listener, err := proxy.Listen(frontAddress)
 	c.Assert(err, qt.IsNil)
-	limiter := bounds.New()
+	limiter := bounds.New(nil)
 	server := limiter.Server(s.front, log.New(io.Discard, "", 0))
 	go func() { _ = server.Serve(limiter.Listen(listener)) }() // ends with the process
 	return func() {
--- a/internal/proxy/run/run.go
+++ b/internal/proxy/run/run.go
@@ -17,18 +17,18 @@
 
 	"sumacloft/internal/agent"
 	"sumacloft/internal/boot"
+	"sumacloft/internal/bounds"
+	"sumacloft/internal/inflight"
 	"sumacloft/internal/mesh/membership"
 	"sumacloft/internal/mesh/network"
 	"sumacloft/internal/mesh/traffic"
 	"sumacloft/internal/periodic"
-	"sumacloft/internal/proxy/bounds"
 	"sumacloft/internal/proxy/budget"
 	"sumacloft/internal/proxy/calls"
 	"sumacloft/internal/proxy/feed"
 	"sumacloft/internal/proxy/front"
 	"sumacloft/internal/proxy/hints"
 	"sumacloft/internal/proxy/lane"
-	"sumacloft/internal/responseguard"
 	"sumacloft/internal/trial"
 	"sumacloft/internal/upstream"
 )
@@ -46,20 +46,26 @@
 	// reservedDescriptors is the number of file descriptors for files, listeners and the agent. Clients and workers
 	// share the rest.
 	reservedDescriptors = 300
+	// minSockets is the number of sockets of a proxy on a machine with few descriptors.
+	minSockets = 64
 	// drainNotice is how long the platform may keep sending new connections after the proxy reports that it is not
 	// ready.
 	drainNotice = 2500 * time.Millisecond
 	// closeMargin is how long before the end of the grace period open requests are aborted.
 	closeMargin = 500 * time.Millisecond
-	// headerTimeout bounds the time to read the headers of a readiness check. Connections of clients have the
-	// configuration's limits.
-	headerTimeout = 10 * time.Second
 	// closeWait is the pause after the abort, for the handlers to return.
 	closeWait = 20 * time.Millisecond
 )
 
+// MemoryShare is how a proxy divides its memory. It leaves room for the agent, whose machine it shares.
+var MemoryShare = inflight.Share{Requests: 0.25, Connections: 0.125, Runtime: 0.5}
+
+// Account returns the account of all requests of the process, for its other listeners.
+func (p *Proxy) Account() *inflight.Account { return p.account }
+
 // Proxy is the proxy's process.
 type Proxy struct {
+	account  *inflight.Account // of all requests of the process
 	settings *boot.Settings
 	network  network.Network
 	log      zerolog.Logger
@@ -85,13 +91,14 @@
 
 // New creates a proxy on a machine's network. Components that log with logrus write to the same ring.
 func New(settings *boot.Settings, transport network.Network, logger zerolog.Logger, ring io.Writer) *Proxy {
-	sockets := max(settings.Limits.OpenFiles-reservedDescriptors, 64) / 2
+	sockets := max(settings.Limits.OpenFiles-reservedDescriptors, minSockets) / 2
+	account := MemoryShare.Account(settings.Limits.MemoryMB, sockets)
 	terms := WorkerTerms(transport)
 	terms.Meter = &traffic.Meter{}
 	pool := upstream.NewPoolOn(terms, upstream.NewBudget(sockets), dialTimeout, idleTimeout)
 	workerCalls := calls.New(pool)
-	p := &Proxy{settings: settings, network: transport, log: logger, pool: pool, meter: terms.Meter, started: time.Now()}
-	p.front = &front.Front{Calls: workerCalls, Bounds: bounds.New(), NoResume: settings.Trial.Has(trial.PickUp)}
+	p := &Proxy{account: account, settings: settings, network: transport, log: logger, pool: pool, meter: terms.Meter, started: time.Now()}
+	p.front = &front.Front{Calls: workerCalls, Bounds: bounds.New(account), NoResume: settings.Trial.Has(trial.PickUp)}
 	coreLog := logrus.New()
 	coreLog.SetOutput(ring)
 	seed := fnv.New64a()
@@ -124,8 +131,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/ready", p.serveReady)
-	health := &http.Server{Handler: responseguard.Handler(mux), ReadHeaderTimeout: headerTimeout}
-	if err := p.serve(health, p.settings.ListenOn.Ready, unbounded); err != nil {
+	checks := bounds.NewPreferred(p.account)
+	health := checks.Server(mux, log.New(p.log, "", 0))
+	if err := p.serve(health, p.settings.ListenOn.Ready, checks.Listen); err != nil {
 		return err
 	}
 	background, cancel := context.WithCancel(context.Background())
@@ -161,9 +169,6 @@
 	return nil
 }
 
-// unbounded returns a listener unchanged.
-func unbounded(l net.Listener) net.Listener { return l }
-
 // drain keeps serving until the platform has seen that this proxy is not ready, then finishes the open requests.
 func (p *Proxy) drain(server *http.Server) {
 	started := time.Now()
