rpc: calls between processes are charged to their process's account, and limited

What callers saw: an agent, a control member or a proxy ended by heads of 900 KB (240 to 480 MB of 96) or bodies that do not end (1,794 to 1,977 MB) at its inside port, or had no descriptor left (814 to 818 of 400). Cause: net/http's head of 1 MiB, messages and a decompressed configuration without a bound, no time for a body, no cap.

--- a/cmd/fleetd/lines.go
+++ b/cmd/fleetd/lines.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"sumacloft/internal/agent"
+	"sumacloft/internal/inflight"
 	"sumacloft/internal/logring"
 	"sumacloft/internal/mesh/membership"
 	"sumacloft/internal/mesh/network"
@@ -56,11 +57,11 @@
 
 // serveProxyStatus gives a proxy's decisions and log lines to operators on its own machine. A proxy serves clients without it as
 // well.
-func serveProxyStatus(p *process, handle func(*http.ServeMux)) *rpc.Server {
+func serveProxyStatus(p *process, handle func(*http.ServeMux), account *inflight.Account) *rpc.Server {
 	mux := http.NewServeMux()
 	handle(mux)
 	status.HandleLog(mux, p.ring)
-	server := rpc.NewServer(network.System{}, mux)
+	server := rpc.NewServer(network.System{}, mux, account)
 	if p.settings.InsidePorts.Count() <= membership.PortProxy {
 		return server
 	}
--- a/cmd/fleetd/lines_test.go
+++ b/cmd/fleetd/lines_test.go
@@ -59,14 +59,14 @@
 	settings := &boot.Settings{IP: "127.0.0.77", InsidePorts: boot.PortRange{First: 17700, Last: 17709}}
 	log := newLines(io.Discard, false)
 	log.log.Info().Msg("one")
-	server := serveProxyStatus(&process{settings: settings, lines: log}, func(*http.ServeMux) {})
+	server := serveProxyStatus(&process{settings: settings, lines: log}, func(*http.ServeMux) {}, nil)
 	c.Cleanup(func() { _ = server.Close() })
 	// when it is asked at the fifth inside port there, then it gives its lines.
 	got := runLine(c, "log", "127.0.0.77:17704")
 	c.Assert(got.err, qt.IsNil)
 	c.Assert(got.out, qt.Contains, "one")
 	// Given a second one at the same port, then it goes on without, and says so in its log.
-	second := serveProxyStatus(&process{settings: settings, lines: log}, func(*http.ServeMux) {})
+	second := serveProxyStatus(&process{settings: settings, lines: log}, func(*http.ServeMux) {}, nil)
 	c.Cleanup(func() { _ = second.Close() })
 	var held bytes.Buffer
 	c.Assert(log.ring.Copy(&held), qt.IsNil)
--- a/cmd/fleetd/main.go
+++ b/cmd/fleetd/main.go
@@ -95,8 +95,9 @@
 	}
 	defer p.stop()
 	signal.Ignore(syscall.SIGHUP) // what the proxy needs comes by its agent
+	run.MemoryShare.LimitRuntime(p.settings.Limits.MemoryMB)
 	proxy := run.New(p.settings, network.System{}, p.log, p.out)
-	shown := serveProxyStatus(p, proxy.HandleStatus)
+	shown := serveProxyStatus(p, proxy.HandleStatus, proxy.Account())
 	defer func() { _ = shown.Close() }() // the process ends
 	return proxy.Run(p.ctx)
 }
@@ -120,6 +121,7 @@
 		return err
 	}
 	defer p.stop()
+	agent.MemoryShare.LimitRuntime(p.settings.Limits.MemoryMB)
 	beside := agent.New(p.settings, network.System{}, p.log)
 	beside.ServeLog(p.ring)
 	hangups := make(chan os.Signal, 1)
@@ -165,6 +167,7 @@
 		return err
 	}
 	defer p.stop()
+	member.MemoryShare.LimitRuntime(p.settings.Limits.MemoryMB)
 	control := member.New(p.settings, network.System{}, member.Disk{Open: disklog.OS}, p.log)
 	control.ServeLog(p.ring)
 	hangups := make(chan os.Signal, 1)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"sumacloft/internal/boot"
+	"sumacloft/internal/inflight"
 	"sumacloft/internal/mesh/membership"
 	"sumacloft/internal/mesh/message"
 	"sumacloft/internal/mesh/network"
@@ -29,6 +30,9 @@
 	fanOut = 2
 )
 
+// MemoryShare is how an agent divides its memory. It leaves most of it to the proxy, whose machine it shares.
+var MemoryShare = inflight.Share{Requests: 0.1, Connections: 0.125, Runtime: 0.5}
+
 // Agent is the process that runs beside a proxy.
 type Agent struct {
 	settings  *boot.Settings
@@ -38,6 +42,7 @@
 	members   *membership.Membership
 	address   string
 	feed      *feed
+	account   *inflight.Account // of all requests of the process
 	servers   []*rpc.Server
 	startedAt time.Time
 	logLines  status.Log // may be nil
@@ -63,6 +68,7 @@
 // New creates an agent on a machine's network.
 func New(settings *boot.Settings, transport network.Network, log zerolog.Logger) *Agent {
 	a := &Agent{settings: settings, network: transport, log: log, client: rpc.NewClient(transport), startedAt: time.Now()}
+	a.account = MemoryShare.Account(settings.Limits.MemoryMB, inflight.Inbound(settings.Limits.OpenFiles))
 	a.confirmation = newConfirmation(settings.Bear.Machines)
 	a.address = membership.InsideAddress(settings.IP, settings.InsidePorts, membership.PortAgent)
 	a.members = membership.New(membership.Config{
@@ -116,7 +122,7 @@
 }
 
 func (a *Agent) serve(mux *http.ServeMux, address string) error {
-	server := rpc.NewServer(a.network, mux)
+	server := rpc.NewServer(a.network, mux, a.account)
 	a.servers = append(a.servers, server)
 	return server.Serve(address)
 }
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -12,11 +12,13 @@
 	"github.com/zeebo/errs"
 
 	"sumacloft/internal/boot"
+	"sumacloft/internal/bounds"
 	"sumacloft/internal/control/consensus"
 	"sumacloft/internal/control/disklog"
 	"sumacloft/internal/control/partition"
 	"sumacloft/internal/control/registry"
 	"sumacloft/internal/control/steering"
+	"sumacloft/internal/inflight"
 	"sumacloft/internal/mesh/membership"
 	"sumacloft/internal/mesh/message"
 	"sumacloft/internal/mesh/network"
@@ -48,10 +50,11 @@
 	leaderlessTimeout = 2 * time.Second
 	// ledTimeout is how long after its last contact with a leader a member still reports to routers that it has one.
 	ledTimeout = 500 * time.Millisecond
-	// headerTimeout bounds the time for reading the headers of a request.
-	headerTimeout = 5 * time.Second
 )
 
+// MemoryShare is how a control member divides its memory.
+var MemoryShare = inflight.Share{Requests: 0.25, Connections: 0.25, Runtime: 0.75}
+
 // Member is a control member.
 type Member struct {
 	settings  *boot.Settings
@@ -62,6 +65,7 @@
 	members   *membership.Membership
 	startedAt time.Time
 	address   string
+	account   *inflight.Account // of all requests of the process
 	servers   []*rpc.Server
 	steering  *http.Server
 	orders    *orders
@@ -90,6 +94,7 @@
 // New creates a control member that uses the given network and disk.
 func New(settings *boot.Settings, transport network.Network, disk Disk, log zerolog.Logger) *Member {
 	m := &Member{settings: settings, network: transport, disk: disk, log: log, client: rpc.NewClient(transport), startedAt: time.Now()}
+	m.account = MemoryShare.Account(settings.Limits.MemoryMB, inflight.Inbound(settings.Limits.OpenFiles))
 	m.confirmed = map[string]registry.State{}
 	m.saves = newRegistrySaves()
 	m.address = membership.InsideAddress(settings.IP, settings.InsidePorts, membership.PortControl)
@@ -217,7 +222,7 @@
 		m.coordination.handle(inside)
 	}
 	m.handleStatus(inside)
-	server := rpc.NewServer(m.network, inside)
+	server := rpc.NewServer(m.network, inside, m.account)
 	m.servers = append(m.servers, server)
 	if err := server.Serve(m.address); err != nil {
 		return err
@@ -226,8 +231,9 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	m.steering = &http.Server{Handler: m.steeringHandler(), ReadHeaderTimeout: headerTimeout}
-	go func() { _ = m.steering.Serve(listener) }() // ends with Close
+	limiter := bounds.NewFixed(m.account)
+	m.steering = limiter.Server(m.steeringHandler(), nil)
+	go func() { _ = m.steering.Serve(limiter.Listen(listener)) }() // ends with Close
 	m.restoreRegistry()
 	hostContext, stop := context.WithCancel(context.WithoutCancel(ctx))
 	m.stopHost = stop
--- a/internal/mesh/membership/contact_test.go
+++ b/internal/mesh/membership/contact_test.go
@@ -51,7 +51,7 @@
 	message.CallBeat.Handle(mux, func(context.Context, *message.Beat) (*message.BeatAnswer, error) {
 		return &message.BeatAnswer{Authority: message.LeaderBacked}, nil
 	})
-	server := rpc.NewServer(process, mux)
+	server := rpc.NewServer(process, mux, nil)
 	c.Assert(server.Serve(address), qt.IsNil)
 	return server
 }
--- a/internal/mesh/membership/large_test.go
+++ b/internal/mesh/membership/large_test.go
@@ -63,7 +63,7 @@
 		f.clients = append(f.clients, client)
 		mux := http.NewServeMux()
 		m.Node().Handle(mux)
-		server := rpc.NewServer(fabric.Machine(host).Process(), mux)
+		server := rpc.NewServer(fabric.Machine(host).Process(), mux, nil)
 		wait := time.Duration(random.Int64N(int64(startSpread)))
 		go func() {
 			time.Sleep(wait)
--- a/internal/mesh/membership/publish_test.go
+++ b/internal/mesh/membership/publish_test.go
@@ -56,7 +56,7 @@
 		message.CallSync.Handle(mux, func(_ context.Context, sync *message.Sync) (*message.SyncAnswer, error) {
 			return &message.SyncAnswer{Durable: sync.Durable && stores}, nil
 		})
-		server := rpc.NewServer(fabric.Machine("10.0.0.2").Process(), mux)
+		server := rpc.NewServer(fabric.Machine("10.0.0.2").Process(), mux, nil)
 		c.Assert(server.Serve(otherAddress), qt.IsNil)
 		own := membership.New(membership.Config{
 			Prefix:   topic.Controls,
--- a/internal/mesh/membership/spread_test.go
+++ b/internal/mesh/membership/spread_test.go
@@ -58,7 +58,7 @@
 		other := &neighbour{}
 		mux := http.NewServeMux()
 		message.CallSync.Handle(mux, other.record)
-		server := rpc.NewServer(fabric.Machine("10.0.0.2").Process(), mux)
+		server := rpc.NewServer(fabric.Machine("10.0.0.2").Process(), mux, nil)
 		c.Assert(server.Serve(otherAddress), qt.IsNil)
 		own := membership.New(membership.Config{
 			Prefix:   topic.Routers,
--- a/internal/mesh/message/message_size_test.go
+++ b/internal/mesh/message/message_size_test.go
@@ -92,7 +92,7 @@
 	message.CallSync.Handle(mux, func(context.Context, *message.Sync) (*message.SyncAnswer, error) {
 		return &message.SyncAnswer{}, nil
 	})
-	server := rpc.NewServer(s.pipes, mux)
+	server := rpc.NewServer(s.pipes, mux, nil)
 	qt.Assert(t, server.Serve(address), qt.IsNil)
 	t.Cleanup(func() {
 		close(s.pipes.incoming)
--- a/internal/mesh/rpc/rpc.go
+++ b/internal/mesh/rpc/rpc.go
@@ -13,6 +13,8 @@
 	"connectrpc.com/connect"
 	"github.com/zeebo/errs"
 
+	"sumacloft/internal/bounds"
+	"sumacloft/internal/inflight"
 	"sumacloft/internal/mesh/network"
 	"sumacloft/internal/mesh/traffic"
 )
@@ -28,8 +30,6 @@
 	unackedTimeout = 2 * time.Second
 	// idleLimit is how long an idle connection is kept.
 	idleTimeout = 30 * time.Second
-	// headerLimit is the timeout for receiving the headers of a call.
-	headerTimeout = 5 * time.Second
 )
 
 // Client makes calls. It reuses connections. Safe for concurrent use.
@@ -113,12 +113,18 @@
 	uncompressedResponses = connect.WithCompression("gzip", nil, nil)
 )
 
+// maxMessageBytes bounds a message. The largest is a part of a partition's log, which fits into one segment on disk.
+const maxMessageBytes = 24 << 20
+
+// limitedMessages applies maxMessageBytes to requests and responses.
+var limitedMessages = connect.WithReadMaxBytes(maxMessageBytes)
+
 // Procedure is the path of a call, with the types of its request and response.
 type Procedure[Request, Response any] string
 
 // Call calls the procedure at the address and waits for the response until the context ends.
 func (p Procedure[Request, Response]) Call(ctx context.Context, client *Client, address string, request *Request) (*Response, error) {
-	caller := connect.NewClient[Request, Response](client.http, "http://"+address+string(p), connect.WithCodec(codec{}), uncompressedRequests)
+	caller := connect.NewClient[Request, Response](client.http, "http://"+address+string(p), connect.WithCodec(codec{}), uncompressedRequests, limitedMessages)
 	response, err := caller.CallUnary(ctx, connect.NewRequest(request))
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -135,20 +141,23 @@
 		}
 		return connect.NewResponse(response), nil
 	}
-	mux.Handle(string(p), connect.NewUnaryHandler(string(p), unary, connect.WithCodec(codec{}), uncompressedResponses))
+	mux.Handle(string(p), connect.NewUnaryHandler(string(p), unary, connect.WithCodec(codec{}), uncompressedResponses, limitedMessages))
 }
 
 // Server serves calls on listeners until it is closed.
 type Server struct {
 	network network.Network
+	limiter *bounds.Limiter
 	http    *http.Server
 	once    sync.Once
 }
 
-// NewServer makes a server for the mux that listens on the network.
-func NewServer(over network.Network, mux *http.ServeMux) *Server {
-	server := &http.Server{Handler: withoutDate(mux), ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * idleTimeout}
-	return &Server{network: over, http: server}
+// NewServer makes a server for the mux that listens on the network. Its connections and calls share the account with all others
+// of the process.
+func NewServer(over network.Network, mux *http.ServeMux, account *inflight.Account) *Server {
+	limiter := bounds.NewPreferred(account)
+	server := limiter.Server(withoutDate(bounds.MeterBodies(maxMessageBytes, mux)), nil)
+	return &Server{network: over, limiter: limiter, http: server}
 }
 
 // Serve handles calls on the address until Close.
@@ -157,7 +166,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	go func() { _ = s.http.Serve(listener) }() // returns after Close, which reports the only relevant error
+	go func() { _ = s.http.Serve(s.limiter.Listen(listener)) }() // returns after Close, which reports the only relevant error
 	return nil
 }
 
--- a/internal/mesh/rpc/rpc_test.go
+++ b/internal/mesh/rpc/rpc_test.go
@@ -52,7 +52,7 @@
 	})
 	bound := listener(c)
 	address := bound.Addr().String()
-	server := rpc.NewServer(fixedListener{bound}, mux)
+	server := rpc.NewServer(fixedListener{bound}, mux, nil)
 	c.Assert(server.Serve(address), qt.IsNil)
 	defer server.Close()
 	// when a call arrives,
--- a/internal/mesh/topic/topic.go
+++ b/internal/mesh/topic/topic.go
@@ -138,8 +138,14 @@
 	return replica.Entry{Key: Settings, Version: replica.Version{Major: index}, Value: packed.Bytes()}, nil
 }
 
+// maxDocumentBytes bounds a configuration. An order may have 8 MiB, and changes add to what is there.
+const maxDocumentBytes = 64 << 20
+
 // Document decompresses the configuration document that an entry holds.
 func Document(entry replica.Entry) ([]byte, error) {
-	document, err := io.ReadAll(flate.NewReader(bytes.NewReader(entry.Value)))
+	document, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(entry.Value)), maxDocumentBytes+1))
+	if err == nil && len(document) > maxDocumentBytes {
+		return nil, Error.New("a configuration of more than %d bytes: check which process sent it", maxDocumentBytes)
+	}
 	return document, Error.Wrap(err)
 }
