steering: bodies are charged, heartbeats and the number of workers are bounded

What callers saw: a control member ended by orders that stop short (363, 415 MB of 96) or heads (283 MB); 800 made-up workers with heartbeats of 60 KB took 324 MB there and 407 at an edge, and no worker was heard for 30 s. Cause: bodies of 8 MB were read by doubling, and each heartbeat's texts were kept by every process.

--- a/internal/control/member/heartbeats.go
+++ b/internal/control/member/heartbeats.go
@@ -12,6 +12,10 @@
 // Beat implements steering.Workers.
 func (m *Member) Beat(ctx context.Context, beat registry.Beat) (string, error) {
 	m.mu.Lock()
+	if !m.registry.Admits(beat.ID) {
+		m.mu.Unlock()
+		return "", errTooManyWorkers
+	}
 	changed := m.registry.Beat(m.now(), beat)
 	worker, known := m.registry.Find(beat.ID)
 	m.mu.Unlock()
@@ -26,9 +30,16 @@
 	return m.beatTo(beat), nil
 }
 
+// errTooManyWorkers refuses a worker that is not known.
+var errTooManyWorkers = Error.New("%d workers are known, as many as there may be: look for callers that make up worker ids", registry.DefaultMaxWorkers)
+
 // Leave implements steering.Workers.
 func (m *Member) Leave(ctx context.Context, id string) error {
 	m.mu.Lock()
+	if !m.registry.Admits(id) {
+		m.mu.Unlock()
+		return errTooManyWorkers
+	}
 	changed := m.registry.Leave(m.now(), id, 0)
 	worker, known := m.registry.Find(id)
 	m.mu.Unlock()
--- a/internal/control/registry/beat.go
+++ b/internal/control/registry/beat.go
@@ -40,6 +40,7 @@
 	OutOfRange     BeatProblem = "is out of range"
 	UnknownValue   BeatProblem = "holds an unknown word"
 	InvalidAddress BeatProblem = "is no host:port"
+	TooLong        BeatProblem = "is too long"
 )
 
 // BeatFault reports a heartbeat that was rejected.
@@ -58,6 +59,13 @@
 // maxCallCount reserves the lowest bit of an entry's version for lapsedMinor.
 const maxCallCount = math.MaxUint64 / 2
 
+const (
+	// maxTextBytes bounds each text of a heartbeat and the worker's ID, because every process of the fleet keeps them.
+	maxTextBytes = 512
+	// maxListItems bounds each list of a heartbeat.
+	maxListItems = 64
+)
+
 // maxColdLeft caps the reported cold time so that sums of durations cannot overflow.
 const maxColdLeft = 24 * time.Hour
 
@@ -86,6 +94,9 @@
 	if id == "" {
 		reader.fail("id", Missing)
 	}
+	if len(id) > maxTextBytes {
+		reader.fail("id", TooLong)
+	}
 	if reader.firstFault != nil {
 		return Beat{}, reader.fault()
 	}
@@ -142,7 +153,12 @@
 		r.fail(path, WrongType)
 		return ""
 	}
-	return found.String()
+	text := found.String()
+	if len(text) > maxTextBytes {
+		r.fail(path, TooLong)
+		return ""
+	}
+	return text
 }
 
 func (r *beatReader) required(path string) string {
@@ -242,6 +258,10 @@
 		r.fail(path, WrongType)
 		return nil
 	}
+	if len(found.Array()) > maxListItems {
+		r.fail(path, TooLong)
+		return nil
+	}
 	var list []T
 	for index := range found.Array() {
 		list = append(list, read(path+"."+strconv.Itoa(index)))
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -43,6 +43,7 @@
 	DefaultHeartbeatTimeout = 5 * time.Second
 	DefaultGrace            = tombstone.Grace
 	DefaultJournalLimit     = 1024
+	DefaultMaxWorkers       = 4096
 )
 
 // Config configures a Registry. Zero values take the defaults.
@@ -51,6 +52,7 @@
 	HeartbeatTimeout time.Duration // time without a heartbeat after which a worker lapses; several heartbeat intervals
 	Grace            time.Duration // retention period of gone and lapsed workers
 	JournalLimit     int           // number of events kept
+	MaxWorkers       int           // number of workers that may be known, gone ones included
 }
 
 func (c Config) withDefaults() Config {
@@ -60,6 +62,9 @@
 	if c.Grace <= 0 {
 		c.Grace = DefaultGrace
 	}
+	if c.MaxWorkers <= 0 {
+		c.MaxWorkers = DefaultMaxWorkers
+	}
 	if c.JournalLimit <= 0 {
 		c.JournalLimit = DefaultJournalLimit
 	}
@@ -109,6 +114,11 @@
 	}
 }
 
+// Admits reports whether a call of a worker may be recorded: the worker is known, or there is place for one more.
+func (r *Registry) Admits(id string) bool {
+	return r.records[id] != nil || len(r.records) < r.config.MaxWorkers
+}
+
 // Beat applies a heartbeat and reports whether it changed the worker's state, which must then be published. Every
 // heartbeat is to be acknowledged, but a stale one (its call count is not above the newest known) changes nothing. A
 // leaving worker stays leaving, and a gone one stays gone.
--- a/internal/control/steering/coordination.go
+++ b/internal/control/steering/coordination.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/tidwall/gjson"
 
+	"sumacloft/internal/bounds"
 	"sumacloft/internal/control/coordination"
+	"sumacloft/internal/inflight"
 	"sumacloft/internal/responseguard"
 )
 
@@ -87,6 +90,10 @@
 func readCall(w http.ResponseWriter, request *http.Request, kind coordination.Kind, fields ...field) (coordination.Call, bool) {
 	call := coordination.Call{Kind: kind, Name: request.PathValue("id")}
 	body, err := io.ReadAll(responseguard.MaxBytesReader(w, request.Body, maxCallBytes))
+	if errors.Is(err, inflight.ErrFull) || errors.Is(err, inflight.ErrEvicted) {
+		bounds.RefuseNoRoom(w) // nothing was done
+		return call, false
+	}
 	if err != nil {
 		fail(w, http.StatusBadRequest, "the call can't be read, or is larger than 16 KiB")
 		return call, false
--- a/internal/control/steering/steering.go
+++ b/internal/control/steering/steering.go
@@ -9,8 +9,10 @@
 	"net/http"
 	"strconv"
 
+	"sumacloft/internal/bounds"
 	"sumacloft/internal/control/configstate"
 	"sumacloft/internal/control/registry"
+	"sumacloft/internal/inflight"
 	"sumacloft/internal/responseguard"
 )
 
@@ -32,8 +34,9 @@
 }
 
 const (
-	maxBeatBytes  = 64 << 10      // bytes of a heartbeat
-	maxOrderBytes = 8 << 20       // bytes of an order; it must fit into one segment of the disk log
+	maxBeatBytes  = 8 << 10 // bytes of a heartbeat; every process of the fleet keeps what it says
+	maxOrderBytes = 8 << 20 // bytes of an order; it must fit into one segment of the disk log
+	maxBodyBytes  = 2 * maxOrderBytes
 	beatToPrefix  = `{"beat_to":` // start of the response to a heartbeat
 )
 
@@ -52,7 +55,7 @@
 	mux.HandleFunc("POST /v1/Settings.Replace", orders.replace)
 	mux.HandleFunc("POST /v1/Settings.Change", orders.change)
 	mux.HandleFunc("GET /v1/Settings.Read", documents.get)
-	return responseguard.Handler(mux)
+	return responseguard.Handler(bounds.MeterBodies(maxBodyBytes, mux))
 }
 
 // beatHandler serves the heartbeats of workers.
@@ -60,8 +63,12 @@
 
 func (h *beatHandler) post(w http.ResponseWriter, request *http.Request) {
 	body, err := io.ReadAll(responseguard.MaxBytesReader(w, request.Body, maxBeatBytes))
+	if errors.Is(err, inflight.ErrFull) || errors.Is(err, inflight.ErrEvicted) {
+		bounds.RefuseNoRoom(w)
+		return
+	}
 	if err != nil {
-		fail(w, http.StatusBadRequest, "the heartbeat can't be read")
+		fail(w, http.StatusBadRequest, "the heartbeat can't be read, or is larger than 8 KiB")
 		return
 	}
 	beat, err := registry.ParseBeat(request.PathValue("id"), body)
@@ -85,7 +92,12 @@
 type leaveHandler struct{ workers Workers }
 
 func (h *leaveHandler) post(w http.ResponseWriter, request *http.Request) {
-	if err := h.workers.Leave(request.Context(), request.PathValue("id")); err != nil {
+	id := request.PathValue("id")
+	if len(id) > maxNameBytes {
+		fail(w, http.StatusBadRequest, "the worker's id is longer than 512 bytes")
+		return
+	}
+	if err := h.workers.Leave(request.Context(), id); err != nil {
 		fail(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
