downstream: heads and bodies are charged to the account that the fleet uses

What callers saw: the daemon went over its memory, 33 to 52 MB of 32, under heads of short lines, stalled bodies or both. Cause: only bodies counted, heads not, and the runtime's limit did not leave room for the program's pages. The own account of bodies is gone.

--- a/cmd/sumacloft/main.go
+++ b/cmd/sumacloft/main.go
@@ -13,7 +13,6 @@
 	"os/signal"
 	"reflect"
 	"runtime"
-	"runtime/debug"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -28,11 +27,15 @@
 	"sumacloft/internal/core"
 	"sumacloft/internal/discovery"
 	"sumacloft/internal/downstream"
+	"sumacloft/internal/inflight"
 	"sumacloft/internal/ops"
 	"sumacloft/internal/platform"
 	"sumacloft/internal/upstream"
 )
 
+// memoryShare is how the program divides its memory.
+var memoryShare = inflight.Share{Requests: 0.2, Connections: 0.2, Runtime: 0.75}
+
 const (
 	// lingers is how long after SIGTERM new connections are still taken: the front notices late that a router
 	// is not ready any more. Whoever comes later than 0.7 s is owed a whole answer before the process is killed,
@@ -45,8 +48,6 @@
 	// settles is how long, once all answers are out, what is held for them may take to be let go.
 	settles = time.Second
 	sweeps  = time.Second
-	// memoryShare of the limit is what the collector aims at; the rest is for what it does not see.
-	memoryShare = 0.75
 )
 
 // line is the command line.
@@ -133,8 +134,9 @@
 
 func (r *router) limit(l config.Limits) {
 	runtime.GOMAXPROCS(max(int(l.Cores), 1))
-	debug.SetMemoryLimit(int64(memoryShare * float64(l.MemoryMB<<20)))
-	r.guard = downstream.New(l.Clients(), l.Bodies())
+	memoryShare.LimitRuntime(l.MemoryMB)
+	account := memoryShare.Account(l.MemoryMB, l.Clients())
+	r.guard = downstream.New(account.Limits().Connections, account)
 	r.budget = upstream.NewBudget(l.Servers())
 	r.moved = make(chan source)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,8 +47,6 @@
 	minSockets = 64
 	// reserved descriptors are for discovery, the listener, standard streams and the runtime.
 	reserved = 32
-	// bodyShare of the memory may be held as clients' bodies; each is copied once on its way to a worker.
-	bodyShare = 1.0 / 12
 )
 
 // Clients is how many connections clients may have, Servers how many the router may have to servers.
@@ -57,9 +55,6 @@
 // Servers is what Clients leaves.
 func (l Limits) Servers() int { return l.Sockets - reserved - l.Clients() }
 
-// Bodies is how many bytes of clients' bodies may be held at once.
-func (l Limits) Bodies() int { return int(bodyShare * float64(l.MemoryMB<<20)) }
-
 // Platform reads the configuration that the platform's variables name. A variable that is set goes before the
 // same value in the file, but for discovery: the file may be replaced while the router runs, the variable can't.
 func Platform(getenv func(string) string) (Config, error) {
--- a/internal/downstream/body.go
+++ b/internal/downstream/body.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"sumacloft/internal/inflight"
 	"sumacloft/internal/responseguard"
 )
 
@@ -29,63 +30,74 @@
 	errCrowded    = &Fault{http.StatusServiceUnavailable, "too much is open for others"}
 )
 
-// firstPiece is what the memory for a body starts with: it grows as the body comes, so that those that say much and
-// send nothing take little from the others.
-const firstPiece = 16 << 10
+// bodyCopies is how many times a body is held beside what was read: what is parsed of it, and its copy on the way to a server.
+const bodyCopies = 2
 
 // Body takes a request and reads its body within the time for it. free gives back the request's place and the memory
-// that it counts for.
+// that it is charged for.
 func Body(w http.ResponseWriter, req *http.Request) (body []byte, free func(), err error) {
-	size := int(min(req.ContentLength, MaxBody+1))
-	if size > MaxBody {
+	if req.ContentLength > MaxBody {
 		linger(w)
 		return nil, nil, errLarge
 	}
-	if size < 0 { // chunked: it may be as long as any, and one byte more shows that it is too long
-		size = MaxBody + 1
+	c := of(req)
+	if c == nil {
+		body, err = inflight.ReadBody(req.Body, req.ContentLength, MaxBody, nil)
+		return body, func() {}, fault(w, err)
 	}
-	c, held := of(req), 0
-	if c != nil && !c.guard.enter() {
+	if !c.guard.enter() {
 		w.Header().Set("Retry-After", "1")
 		return nil, nil, errCrowded
 	}
+	body, charged, err := c.read(req)
 	free = sync.OnceFunc(func() {
-		if c != nil {
-			c.guard.done(held)
-		}
+		c.guard.done()
+		c.holder.Shrink(charged)
+		c.holder.Unpin()
 	})
-	for err == nil && len(body) < size {
-		if len(body) == cap(body) {
-			more := min(max(len(body), firstPiece), size-len(body))
-			if c != nil && !c.guard.hold(more) {
-				err = errCrowded
-				break
-			}
-			held += more
-			body = append(make([]byte, 0, len(body)+more), body...)
-		}
-		var n int
-		n, err = req.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-	}
-	switch {
-	case len(body) > MaxBody:
-		err = errLarge
-	case errors.Is(err, errCrowded):
-	case len(body) == size || errors.Is(err, io.EOF):
+	if err == nil {
 		// The server goes on reading to see whether the client leaves; that must not run into the limit.
 		err = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	default:
-		err = errUnreadable
+	} else if c.holder.Evicted() {
+		err = inflight.ErrEvicted
 	}
-	if err != nil {
+	if err = fault(w, err); err != nil {
+		inflight.DropHead(req)
 		free()
-		linger(w)
 		return nil, nil, err
 	}
 	return body, free, nil
 }
 
+// read reads a body and has the request run from then on. charged is what was charged for it.
+func (c *Conn) read(req *http.Request) (body []byte, charged int64, err error) {
+	if body, err = inflight.ReadBody(req.Body, req.ContentLength, MaxBody, c.holder); err != nil {
+		return nil, 0, err
+	}
+	charged = int64(cap(body))
+	more := bodyCopies*int64(len(body)) + inflight.RequestBytes
+	if err = c.holder.Grow(more); err != nil {
+		return nil, charged, err
+	}
+	return body, charged + more, c.holder.Pin()
+}
+
+// fault is why a body was not taken, for the client. A body that was not read whole is not waited for.
+func fault(w http.ResponseWriter, err error) error {
+	if err == nil {
+		return nil
+	}
+	linger(w)
+	switch {
+	case errors.Is(err, inflight.ErrTooLarge):
+		return errLarge
+	case errors.Is(err, inflight.ErrFull), errors.Is(err, inflight.ErrEvicted):
+		w.Header().Set("Retry-After", "1")
+		return errCrowded
+	}
+	return errUnreadable
+}
+
 // linger has the connection closed after the answer, without waiting for the rest of the body, but such that the
 // client can still read why: net/http does so once a limited reader finds a body too long.
 func linger(w http.ResponseWriter) {
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -13,13 +13,16 @@
 	"strconv"
 	"syscall"
 	"time"
+
+	"sumacloft/internal/inflight"
 )
 
 // Conn is a client's connection. It hands net/http one request after the other: each head as a whole, then no
 // more of the body than the head says. So it knows whether a request is open, and sees what net/http removes.
 type Conn struct {
 	net.Conn
-	guard *Guard
+	guard  *Guard
+	holder *inflight.Holder
 
 	// One reader at a time uses these.
 	buf   []byte // read and not handed on
@@ -35,6 +38,7 @@
 	served  bool          // a request has been answered
 	fault   string
 	last    bool // nothing after this request can be framed
+	evicted bool // the request's body is not read any further
 	gone    bool
 }
 
@@ -77,6 +81,9 @@
 		if len(c.buf) > 0 && !c.heard() {
 			return errDropped
 		}
+		if full := c.holder.Grow(inflight.HeadBytes(piece[:n])); full != nil {
+			return errDropped
+		}
 		if end = headEnd(c.buf); err != nil && end < 0 {
 			return err
 		}
@@ -190,6 +197,7 @@
 	if c.gone {
 		return
 	}
+	c.holder.Settle(inflight.HeadBytes(c.buf))
 	if c.heading || c.ready > 0 { // the next request has begun to come: its time starts now
 		c.since = time.Now()
 		return
@@ -211,6 +219,7 @@
 		return
 	}
 	c.gone = true
+	c.holder.Close()
 	if c.place != nil {
 		g.idle.Remove(c.place)
 		c.place = nil
@@ -219,6 +228,28 @@
 	g.freed.Broadcast()
 }
 
+// evict makes room for others: a request whose body is being read is refused by its handler, any other connection is closed.
+func (c *Conn) evict(inflight.Cause) {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	if c.serving {
+		c.evicted = true
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails on a closed connection, whose reads fail
+		return
+	}
+	c.guard.drop(c)
+}
+
+// SetReadDeadline serves net.Conn.
+func (c *Conn) SetReadDeadline(deadline time.Time) error {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	if c.evicted {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
 // Close serves net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
--- a/internal/downstream/guard.go
+++ b/internal/downstream/guard.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"sumacloft/internal/inflight"
 	"sumacloft/internal/responseguard"
 )
 
@@ -33,9 +34,9 @@
 
 // Guard keeps the clients' connections. Use New.
 type Guard struct {
-	most  int // connections
-	bytes int // of bodies, not yet held
-	open  int // requests that may still be taken
+	account *inflight.Account // of what requests hold
+	most    int               // connections
+	open    int               // requests that may still be taken
 
 	mu    sync.Mutex
 	shed  bool // idle connections are closed at once: the router is being emptied
@@ -45,9 +46,9 @@
 	idle  *list.List // of *Conn without an open request, the one idle for longest first
 }
 
-// New makes a guard of so many connections, which holds at most so many bytes of bodies.
-func New(connections, bytes int) *Guard {
-	g := &Guard{most: max(connections, 1), bytes: bytes, open: connections - int(spareShare*float64(connections)), conns: map[*Conn]struct{}{}, idle: list.New()}
+// New makes a guard of so many connections, whose requests are charged to the account.
+func New(connections int, account *inflight.Account) *Guard {
+	g := &Guard{account: account, most: max(connections, 1), open: connections - int(spareShare*float64(connections)), conns: map[*Conn]struct{}{}, idle: list.New()}
 	g.freed = sync.NewCond(&g.mu)
 	return g
 }
@@ -116,6 +117,10 @@
 	for len(g.conns) >= g.most && !g.makeRoom() {
 		g.freed.Wait()
 	}
+	if c.holder, err = g.account.Open(true, c.evict); err != nil {
+		_ = raw.Close() // no request was read from it
+		return nil, err
+	}
 	g.conns[c] = struct{}{}
 	c.rest()
 	return c, nil
@@ -216,21 +221,9 @@
 	return true
 }
 
-// hold takes bytes for a body, if they are left.
-func (g *Guard) hold(n int) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if n > g.bytes {
-		return false
-	}
-	g.bytes -= n
-	return true
-}
-
-// done gives back a request that was entered, and the bytes held for it.
-func (g *Guard) done(n int) {
+// done gives back a request that was entered.
+func (g *Guard) done() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.open++
-	g.bytes += n
 }
