hints: the senders whose datagrams are kept are limited

Cause: with more than eight peers nothing removed the hints of senders that fell silent, and any datagram could name a new sender. At most 64 senders, or two for each known peer, are kept, and none with more engines than proxies send.

--- a/internal/proxy/hints/hints.go
+++ b/internal/proxy/hints/hints.go
@@ -35,6 +35,9 @@
 	maxBroadcastPeers = 8
 	// datagramBytes is the maximum size of a datagram.
 	datagramBytes = 1400
+	// minSenders is how many proxies' hints are kept at least, and sendersPerPeer how many for each known peer: peers that
+	// restart or are not known yet are heard as well.
+	minSenders, sendersPerPeer = 64, 2
 	// maxEngines is the maximum number of engines in one hint. It keeps a hint within datagramBytes.
 	maxEngines = 80
 )
@@ -250,9 +253,29 @@
 	if exists && message.Sequence <= last.sequence && now.Sub(last.at) < hintTTL {
 		return
 	}
+	if len(message.Tokens) > maxEngines || len(message.From) > maxAddressBytes || !exists && !h.hasPlace(now) {
+		return
+	}
 	h.received[message.From] = peerHint{sequence: message.Sequence, at: now, tokens: message.Tokens}
 }
 
+// maxAddressBytes is the length of the longest IP address as text.
+const maxAddressBytes = len("255.255.255.255")
+
+// hasPlace reports whether the hints of one more proxy may be kept, without those that have expired. The caller holds the lock.
+func (h *Hints) hasPlace(now time.Time) bool {
+	most := max(minSenders, sendersPerPeer*len(h.peers))
+	if len(h.received) < most {
+		return true
+	}
+	for from, last := range h.received {
+		if now.Sub(last.at) > hintTTL {
+			delete(h.received, from)
+		}
+	}
+	return len(h.received) < most
+}
+
 // reportTotals reports the totals at each engine when hints are broadcast.
 func (h *Hints) reportTotals(own Waiting, now time.Time) {
 	all := h.totals(own, now)
