Answers with the whole configuration are charged, and share its text

What callers saw: 60 callers who read the configuration and take no answer brought a control member to 260 MB of 96 (steering), a member and an agent to 104 and 170 at their inside ports (with the limits before this commit 485 and 121). Cause: each call copied, decompressed or encoded the document for itself, and nothing counted it. The text is shared; a response that may be large is charged before it is made, one at a time always fits, and large writes are charged where the handler does not. Trailers of bodies are dropped: no handler reads them.

--- a/internal/agent/feed.go
+++ b/internal/agent/feed.go
@@ -11,6 +11,7 @@
 	"sumacloft/internal/mesh/message"
 	"sumacloft/internal/mesh/node"
 	"sumacloft/internal/mesh/replica"
+	"sumacloft/internal/mesh/rpc"
 	"sumacloft/internal/mesh/topic"
 )
 
@@ -34,6 +35,9 @@
 	released    <-chan struct{} // closed once the configuration is released
 	link        func() message.Link
 
+	decompressing sync.Mutex // held while a configuration is decompressed
+	documentBytes int        // size of the latest one; decompressing guards it
+
 	mu           sync.Mutex
 	openWatches  int
 	lastWatchAt  time.Time        // last start or end of a watch
@@ -58,7 +62,7 @@
 		settings, releasing := f.releasedSettings(snapshot)
 		differs := request.Revision != snapshot.Revision() || request.Settings != settings.Version.Major
 		if request.AgentRun != f.incarnation || differs && f.untilNextAnswer() <= 0 {
-			answer, err := f.answer(snapshot, request)
+			answer, err := f.answer(ctx, snapshot, request)
 			if err == nil {
 				f.scheduleNextAnswer(len(answer.Workers))
 			}
@@ -112,7 +116,7 @@
 }
 
 // answer builds the proxy's view of the state.
-func (f *feed) answer(snapshot replica.Snapshot, request *message.Watch) (*message.Snapshot, error) {
+func (f *feed) answer(ctx context.Context, snapshot replica.Snapshot, request *message.Watch) (*message.Snapshot, error) {
 	answer := &message.Snapshot{
 		Revision: snapshot.Revision(),
 		AgentRun: f.incarnation,
@@ -128,7 +132,7 @@
 	if request.AgentRun == f.incarnation && request.Settings == answer.Settings {
 		return answer, nil
 	}
-	document, err := topic.Document(entry)
+	document, err := f.decompress(ctx, entry)
 	if err != nil {
 		return nil, err
 	}
@@ -136,6 +140,19 @@
 	return answer, nil
 }
 
+// decompress returns the text of a configuration for a call. It works on one at a time, as that takes several times the
+// text's size, and on none for which there is no room.
+func (f *feed) decompress(ctx context.Context, entry replica.Entry) ([]byte, error) {
+	f.decompressing.Lock()
+	defer f.decompressing.Unlock()
+	if err := rpc.Charge(ctx, f.documentBytes); err != nil {
+		return nil, err
+	}
+	document, err := topic.Document(entry)
+	f.documentBytes = len(document)
+	return document, err
+}
+
 // fillPeers adds workers and routers: only the changes since the previous answer if the proxy has that answer,
 // otherwise all.
 func (f *feed) fillPeers(answer *message.Snapshot, snapshot replica.Snapshot, request *message.Watch) {
--- a/internal/bounds/body.go
+++ b/internal/bounds/body.go
@@ -66,7 +66,7 @@
 			return
 		}
 		limited := responseguard.MaxBytesReader(w, request.Body, limit)
-		request.Body = &meteredBody{ReadCloser: limited, holder: holder, control: http.NewResponseController(w)}
+		request.Body = &meteredBody{ReadCloser: limited, request: request, holder: holder, control: http.NewResponseController(w)}
 		next.ServeHTTP(w, request)
 	})
 }
@@ -90,6 +90,7 @@
 // meteredBody charges the bytes that are read.
 type meteredBody struct {
 	io.ReadCloser
+	request *http.Request
 	holder  *inflight.Holder
 	control *http.ResponseController
 }
@@ -103,6 +104,7 @@
 		return 0, full
 	}
 	if errors.Is(err, io.EOF) {
+		b.request.Trailer = nil // no handler reads it
 		if evicted := b.holder.Pin(); evicted != nil {
 			return 0, evicted
 		}
--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -33,8 +33,9 @@
 
 // Limiter applies limits to connections. Create it with New, NewFixed or NewPreferred.
 type Limiter struct {
-	account   *inflight.Account
-	preferred bool
+	account      *inflight.Account
+	preferred    bool
+	chargeWrites bool // large parts of answers are charged while they are written
 
 	mu     sync.Mutex
 	limits opconf.Limits
@@ -50,7 +51,7 @@
 // NewFixed creates a limiter with the Fixed limits.
 func NewFixed(account *inflight.Account) *Limiter {
 	limiter := New(account)
-	limiter.limits = Fixed
+	limiter.limits, limiter.chargeWrites = Fixed, true
 	return limiter
 }
 
@@ -114,8 +115,11 @@
 type connKey struct{}
 
 // Holder returns what accounts for a request, or nil if its server is not one of this package.
-func Holder(request *http.Request) *inflight.Holder {
-	if conn, ok := request.Context().Value(connKey{}).(*Conn); ok {
+func Holder(request *http.Request) *inflight.Holder { return HolderOf(request.Context()) }
+
+// HolderOf is Holder for the context of a request.
+func HolderOf(ctx context.Context) *inflight.Holder {
+	if conn, ok := ctx.Value(connKey{}).(*Conn); ok {
 		return conn.holder
 	}
 	return nil
--- a/internal/bounds/conn.go
+++ b/internal/bounds/conn.go
@@ -24,6 +24,8 @@
 	lingerTimeout = 500 * time.Millisecond
 	// writeTimeout is how long a client may take to accept one write of an answer for which the handler sets no time.
 	writeTimeout = 15 * time.Second
+	// largeWrite is the size from which a write is charged where the handler does not charge its answer.
+	largeWrite = 32 << 10
 )
 
 // Answers to a head that exceeds a limit. No request has been taken from it.
@@ -120,6 +122,11 @@
 		return c.Conn.Write(p)
 	}
 	c.startAnswer()
+	if c.limiter.chargeWrites && len(p) >= largeWrite {
+		if err := c.holder.GrowTo(int64(len(p))); err != nil {
+			return 0, err
+		}
+	}
 	c.holder.Unpin()
 	n, err := c.Conn.Write(p)
 	if pinned := c.holder.Pin(); err == nil {
--- a/internal/control/member/orders.go
+++ b/internal/control/member/orders.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"sumacloft/internal/control/configstate"
 	"sumacloft/internal/control/partition"
 	"sumacloft/internal/mesh/message"
+	"sumacloft/internal/opconf"
 )
 
 // settingsGroup is the partition that holds the configuration.
@@ -24,8 +26,27 @@
 
 // orders forwards the operator's orders to the leader of the configuration partition, or applies them if this member leads.
 type orders struct {
-	member  *Member
-	machine *settingsMachine
+	member   *Member
+	machine  *settingsMachine
+	document sharedDocument
+}
+
+// sharedDocument is the text of the latest configuration that was read, the same bytes for all calls: a copy for each would
+// be as many documents as there are callers.
+type sharedDocument struct {
+	mu   sync.Mutex
+	of   *opconf.Configuration
+	text []byte
+}
+
+// get returns the text of a configuration. It must not be changed.
+func (d *sharedDocument) get(configuration *opconf.Configuration) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.of != configuration {
+		d.of, d.text = configuration, configuration.Raw()
+	}
+	return d.text
 }
 
 func newOrders(member *Member) *orders {
@@ -137,7 +158,7 @@
 	err := read(ctx, settingsGroup, func() {
 		answer.Index = o.machine.state.Index()
 		if current := o.machine.state.Current(); current != nil && answer.Index != question.Known {
-			answer.Document = current.Raw()
+			answer.Document = o.document.get(current)
 		}
 	})
 	if err != nil {
--- a/internal/downstream/body.go
+++ b/internal/downstream/body.go
@@ -74,6 +74,7 @@
 	if body, err = inflight.ReadBody(req.Body, req.ContentLength, MaxBody, c.holder); err != nil {
 		return nil, 0, err
 	}
+	req.Trailer = nil // nothing reads it
 	charged = int64(cap(body))
 	more := bodyCopies*int64(len(body)) + inflight.RequestBytes
 	if err = c.holder.Grow(more); err != nil {
--- a/internal/inflight/account.go
+++ b/internal/inflight/account.go
@@ -46,6 +46,8 @@
 	largeRelease = 32 << 10
 	// reservedConnections is the share of the connections that only preferred listeners may use.
 	reservedConnections = 1.0 / 16
+	// aloneShare of what large holders may have is the most that GrowTo charges.
+	aloneShare = 0.8
 	// pressureShare and calmShare of the bytes: an account that held the first and falls below the second is drained.
 	pressureShare, calmShare = 0.5, 0.125
 	// classes is the number of size classes. Each is twice the size of the one before.
@@ -161,6 +163,19 @@
 	return nil
 }
 
+// GrowTo charges what is missing until the holder holds n bytes. It is for what the process itself makes and can't make smaller:
+// it charges at most what a large holder may have alone, so that one at a time always fits.
+func (h *Holder) GrowTo(n int64) error {
+	if h == nil {
+		return nil
+	}
+	alone := int64((1 - reservedShare) * aloneShare * float64(h.account.limits.Bytes))
+	if missing := min(n, alone) - h.Held(); missing > 0 {
+		return h.Grow(missing)
+	}
+	return nil
+}
+
 // needsCollection reports whether n bytes for a large holder would fit only in the place of what is not collected yet. The
 // caller holds the lock.
 func (a *Account) needsCollection(h *Holder, n int64) bool {
@@ -326,6 +341,12 @@
 	return h.pins > 0
 }
 
+// Held returns the bytes that the holder holds.
+func (h *Holder) Held() (held int64) {
+	h.locked(func(*Account) { held = h.held })
+	return held
+}
+
 // Evicted reports whether the holder had to make room for others.
 func (h *Holder) Evicted() bool {
 	if h == nil {
--- a/internal/mesh/message/message.go
+++ b/internal/mesh/message/message.go
@@ -48,6 +48,9 @@
 	Durable bool                 `cbor:"3,keyasint,omitempty"` // the received entries are on the receiver's disk
 }
 
+// LargeBytes implements rpc.Large.
+func (a *SyncAnswer) LargeBytes() int { return valueBytes(a.Entries) }
+
 // The calls that every router serves on its first internal port.
 const (
 	CallBeat rpc.Procedure[Beat, BeatAnswer] = "/mesh/Beat"
@@ -77,6 +80,9 @@
 	Index    uint64 `cbor:"2,keyasint,omitempty"` // of the document in its partition's log; 0 if there is none yet
 }
 
+// LargeBytes implements rpc.Large.
+func (a *ReadAnswer) LargeBytes() int { return len(a.Document) }
+
 // The calls between control members.
 const (
 	CallOrder rpc.Procedure[Order, OrderAnswer] = "/control/Order"
@@ -112,5 +118,16 @@
 	RoutersUnchanged bool     `cbor:"13,keyasint,omitempty"`
 }
 
+// LargeBytes implements rpc.Large.
+func (s *Snapshot) LargeBytes() int { return len(s.Document) + valueBytes(s.Workers) }
+
+// valueBytes returns the size of the values of entries.
+func valueBytes(entries []replica.Entry) (size int) {
+	for _, entry := range entries {
+		size += len(entry.Value)
+	}
+	return size
+}
+
 // CallWatch is served by agents on the loopback interface.
 const CallWatch rpc.Procedure[Watch, Snapshot] = "/agent/Watch"
--- a/internal/mesh/rpc/rpc.go
+++ b/internal/mesh/rpc/rpc.go
@@ -136,6 +136,9 @@
 func (p Procedure[Request, Response]) Handle(mux *http.ServeMux, handler func(context.Context, *Request) (*Response, error)) {
 	unary := func(ctx context.Context, request *connect.Request[Request]) (*connect.Response[Response], error) {
 		response, err := handler(ctx, request.Msg)
+		if err == nil {
+			err = chargeResponse(ctx, response)
+		}
 		if err != nil {
 			return nil, connect.NewError(connect.CodeUnavailable, err)
 		}
@@ -144,6 +147,34 @@
 	mux.Handle(string(p), connect.NewUnaryHandler(string(p), unary, connect.WithCodec(codec{}), uncompressedResponses, limitedMessages))
 }
 
+// Large is implemented by responses that may be large. Their size is charged to the call before they are encoded.
+type Large interface {
+	// LargeBytes returns the size of the parts that may be large.
+	LargeBytes() int
+}
+
+const (
+	// largeResponse is the size from which a response is charged.
+	largeResponse = 32 << 10
+	// encodedCopies is how many times a response is held while it is encoded.
+	encodedCopies = 3
+)
+
+// chargeResponse charges a large response to the call's connection. While it is written, the connection may make room for others.
+func chargeResponse(ctx context.Context, response any) error {
+	large, ok := response.(Large)
+	if !ok || large.LargeBytes() < largeResponse {
+		return nil
+	}
+	return Charge(ctx, large.LargeBytes())
+}
+
+// Charge charges a response of so many bytes to the call's connection, unless it is charged already. Handlers call it before
+// they make a large response, so that a call for which there is no room makes none.
+func Charge(ctx context.Context, bytes int) error {
+	return Error.Wrap(bounds.HolderOf(ctx).GrowTo(encodedCopies * int64(bytes)))
+}
+
 // Server serves calls on listeners until it is closed.
 type Server struct {
 	network network.Network
--- a/internal/overloadtest/crowd_test.go
+++ b/internal/overloadtest/crowd_test.go
@@ -61,6 +61,12 @@
 // withstand lets crowds come, and checks that an ordinary call is answered beside them and after them, and that all processes
 // stay within their limits.
 func (f *fleet) withstand(ordinary func() error, crowds ...crowd) {
+	f.c.Helper()
+	f.withstandBeside(ordinary, f.request, crowds...)
+}
+
+// withstandBeside is withstand with another ordinary request for after the crowd.
+func (f *fleet) withstandBeside(ordinary, request func() error, crowds ...crowd) {
 	f.c.Helper()
 	leave := gather(f.c, crowds...)
 	f.check()
@@ -68,7 +74,7 @@
 	leave()
 	f.workers.releaseAll()
 	f.await("an ordinary call after the crowd", ordinary)
-	f.await("an ordinary request after the crowd", f.request)
+	f.await("an ordinary request after the crowd", request)
 	f.check()
 }
 
--- a/internal/overloadtest/fleet_test.go
+++ b/internal/overloadtest/fleet_test.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,6 +50,8 @@
 	host     = "crowd.example"
 	busyPath = "/busy/" // a service whose worker does what the path says
 	calmPath = "/calm/" // a service for ordinary requests
+	// laterPath leads to the same service by the large configuration.
+	laterPath = "/later/"
 
 	startTimeout = 30 * time.Second
 	pollInterval = 50 * time.Millisecond
@@ -142,11 +146,24 @@
 	return f.post("http://"+f.steering()+"/v1/Settings.Replace", "", []byte(text))
 }
 
+// sendLargeConfiguration changes the configuration to one of about so many bytes, with laterPath in the place of calmPath.
+func (f *fleet) sendLargeConfiguration(size int) error {
+	text := fmt.Sprintf(configuration, host, busyPath, calmPath, headerBytes, bodyBytes, headerWaitMS, quietMS)
+	text = strings.Replace(text, `{"version":1,`, `{"version":2,"note":"`+strings.Repeat("n", size)+`",`, 1)
+	text = strings.Replace(text, `"path_start":"`+calmPath+`"`, `"path_start":"`+laterPath+`"`, 1)
+	return f.call(http.MethodPost, "http://"+f.steering()+"/v1/Settings.Replace", "", []byte(text), 1)
+}
+
 // request makes an ordinary request of a client.
 func (f *fleet) request() error {
 	return f.post("http://"+f.front()+calmPath+"echo", host, []byte("an ordinary request"))
 }
 
+// laterRequest makes an ordinary request on a route of the large configuration.
+func (f *fleet) laterRequest() error {
+	return f.post("http://"+f.front()+laterPath+"echo", host, []byte("an ordinary request"))
+}
+
 // order makes an ordinary call of a worker to the control member.
 func (f *fleet) order() error {
 	return f.workers.beat(f, "calm", calmPort)
@@ -154,22 +171,22 @@
 
 // isReady asks the edge machine whether it takes clients.
 func (f *fleet) isReady() error {
-	return f.call(http.MethodGet, "http://"+f.ready()+"/v1/ready", "", nil)
+	return f.call(http.MethodGet, "http://"+f.ready()+"/v1/ready", "", nil, 0)
 }
 
 func (f *fleet) post(url, host string, body []byte) error {
-	return f.call(http.MethodPost, url, host, body)
+	return f.call(http.MethodPost, url, host, body, 0)
 }
 
-// call makes one call on a connection of its own. Any answer but 200 is an error.
-func (f *fleet) call(method, url, host string, body []byte) error {
+// call makes one call on a connection of its own; builtOn is for orders. Any answer but 200 is an error.
+func (f *fleet) call(method, url, host string, body []byte, builtOn int) error {
 	request, err := http.NewRequest(method, url, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
 	request.Host = host
 	request.Header.Set("X-Request-Id", fmt.Sprintf("%016x", rand.Uint64()))
-	request.Header.Set("X-Built-On", "0")
+	request.Header.Set("X-Built-On", strconv.Itoa(builtOn))
 	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	answer, err := client.Do(request)
 	if err != nil {
--- a/internal/overloadtest/ports_test.go
+++ b/internal/overloadtest/ports_test.go
@@ -44,6 +44,13 @@
 	f.withstand(f.order, crowd{60, f.steering(), same(in(head("GET", "control", "/v1/Settings.Read"), ownNames(largeHead)))})
 }
 
+// Guards against large answers that are held for callers that do not read them.
+func TestSteeringHoldsAnswersThatNobodyReads(t *testing.T) {
+	f := newFleet(t)
+	f.await("a large configuration to be taken", func() error { return f.sendLargeConfiguration(bodyBytes - (64 << 10)) })
+	f.withstandBeside(f.order, f.laterRequest, crowd{60, f.steering(), same(in(head("GET", "control", "/v1/Settings.Read"), headEnd))})
+}
+
 func TestSteeringHoldsSilentConnections(t *testing.T) {
 	f := newFleet(t)
 	f.withstand(f.order, crowd{2 * openFiles, f.steering(), same(silent)})
@@ -118,6 +125,26 @@
 	}
 }
 
+// Guards against answers with the whole configuration, each encoded anew, for callers that do not read them.
+func TestInsidePortsHoldAnswersThatNobodyReads(t *testing.T) {
+	for name, call := range map[string]struct {
+		path    string
+		request any
+	}{
+		"control": {string(message.CallRead), &message.Read{}},
+		"agent":   {string(message.CallSync), &message.Sync{}},
+		"feed":    {string(message.CallWatch), &message.Watch{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.await("a large configuration to be taken", func() error { return f.sendLargeConfiguration(bodyBytes - (64 << 10)) })
+			body, err := cbor.Marshal(call.request)
+			f.c.Assert(err, qt.IsNil)
+			f.withstandBeside(f.laterRequest, f.laterRequest, crowd{60, f.insidePorts()[name], same(in(announced("inside", call.path, len(body)), text("%s", body)))})
+		})
+	}
+}
+
 func TestInsidePortsHoldSilentConnections(t *testing.T) {
 	for name := range insidePaths {
 		t.Run(name, func(t *testing.T) {
