--- a/internal/downstream/guard_test.go
+++ b/internal/downstream/guard_test.go
@@ -59,7 +59,12 @@
 
 // serve runs a guard of so many connections.
 func serve(t *testing.T, most int) (g *Guard, e *echo, dial func() net.Conn) {
-	g, e = New(most, inflight.New(inflight.Limits{Bytes: 1 << 20, Connections: most}, inflight.Hooks{})), &echo{}
+	return serveWithin(t, inflight.Limits{Bytes: 1 << 20, Connections: most})
+}
+
+// serveWithin runs a guard whose requests share an account.
+func serveWithin(t *testing.T, limits inflight.Limits) (g *Guard, e *echo, dial func() net.Conn) {
+	g, e = New(limits.Connections, inflight.New(limits, inflight.Hooks{})), &echo{}
 	l := standin.Listen(t)
 	server := g.Server(e, nil)
 	go func() { _ = server.Serve(g.Listen(l)) }()
@@ -163,9 +168,9 @@
 
 // Bytes held for bodies have a bound, past which a client is told to come again, and come back when a body is let go.
 func TestBodiesHeld(t *testing.T) {
-	g, e, dial := serve(t, 10)
 	// One body of 60 KiB is charged 204 KiB with its copies, and fits.
-	g.account, e.holding = inflight.New(inflight.Limits{Bytes: 300 << 10, Connections: 10}, inflight.Hooks{}), make(chan struct{})
+	g, e, dial := serveWithin(t, inflight.Limits{Bytes: 300 << 10, Connections: 10})
+	e.hold(make(chan struct{}))
 	post := fmt.Sprintf("POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", 60<<10, strings.Repeat("x", 60<<10))
 	first, second := dial(), dial()
 	_, _ = io.WriteString(first, post)
