--- a/internal/bounds/body.go
+++ b/internal/bounds/body.go
@@ -60,7 +60,7 @@
 			return
 		}
 		if request.ContentLength == 0 {
-			if Pin(w, holder) {
+			if pin(w, holder) {
 				next.ServeHTTP(w, request)
 			}
 			return
@@ -71,8 +71,8 @@
 	})
 }
 
-// Pin records that a request runs from now on. If it had to make room for others, Pin refuses it and returns false.
-func Pin(w http.ResponseWriter, holder *inflight.Holder) bool {
+// pin records that a request runs from now on. If it had to make room for others, pin refuses it and returns false.
+func pin(w http.ResponseWriter, holder *inflight.Holder) bool {
 	if err := holder.Pin(); err != nil {
 		RefuseNoRoom(w)
 		return false
--- a/internal/downstream/body.go
+++ b/internal/downstream/body.go
@@ -27,7 +27,7 @@
 var (
 	errLarge      = &Fault{http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is larger than %d bytes", MaxBody)}
 	errUnreadable = &Fault{http.StatusBadRequest, "the body can't be read"}
-	errCrowded    = &Fault{http.StatusServiceUnavailable, "too much is open for others"}
+	errNoRoom     = &Fault{http.StatusServiceUnavailable, "too much is open for others"}
 )
 
 // bodyCopies is how many times a body is held beside what was read: what is parsed of it, and its copy on the way to a server.
@@ -47,7 +47,7 @@
 	}
 	if !c.guard.enter() {
 		w.Header().Set("Retry-After", "1")
-		return nil, nil, errCrowded
+		return nil, nil, errNoRoom
 	}
 	body, charged, err := c.read(req)
 	free = sync.OnceFunc(func() {
@@ -94,7 +94,7 @@
 		return errLarge
 	case errors.Is(err, inflight.ErrFull), errors.Is(err, inflight.ErrEvicted):
 		w.Header().Set("Retry-After", "1")
-		return errCrowded
+		return errNoRoom
 	}
 	return errUnreadable
 }
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -17,34 +17,34 @@
 	"sumacloft/internal/inflight"
 )
 
-// Conn is a client's connection. It hands net/http one request after the other: each head as a whole, then no
-// more of the body than the head says. So it knows whether a request is open, and sees what net/http removes.
+// Conn is a client's connection. It passes net/http one request at a time: a complete head, then no more of the body than the
+// head announces. So it knows whether a request is open, and it sees framing headers that net/http removes.
 type Conn struct {
 	net.Conn
 	guard  *Guard
 	holder *inflight.Holder
 
 	// One reader at a time uses these.
-	buf   []byte // read and not handed on
-	ready int    // bytes of buf that may be
-	body  int64  // bytes that follow them unframed
-	late  bool   // this head was given lateTime
+	buf   []byte // received and not passed on
+	ready int    // number of bytes of buf that may be passed on
+	body  int64  // number of body bytes that follow them
+	late  bool   // headGrace was granted to this head
 
 	// The guard's lock guards these.
-	place   *list.Element // among the idle; nil: not idle, or gone
+	place   *list.Element // in the list of idle connections; nil if not idle
 	since   time.Time     // idle, or the first byte of the request
-	heading bool          // a head has begun and not ended
-	serving bool          // a request is with net/http
-	served  bool          // a request has been answered
+	heading bool          // a part of a head has arrived
+	serving bool          // net/http serves a request
+	served  bool          // a request was answered
 	fault   string
-	last    bool // nothing after this request can be framed
+	last    bool // the connection ends with this request
 	evicted bool // the request's body is not read any further
 	gone    bool
 }
 
 var errDropped = errors.New("the connection made room for others")
 
-// Read serves net.Conn.
+// Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	for c.ready == 0 {
 		if c.body > 0 {
@@ -67,18 +67,18 @@
 	return n, nil
 }
 
-// frame reads until a head is whole, or can't become one.
+// frame reads until a head is complete or exceeds its limit.
 func (c *Conn) frame() error {
 	c.buf = bytes.TrimLeft(c.buf, "\r\n") // as some clients send after a body
 	end := headEnd(c.buf)
 	for end < 0 && len(c.buf) <= maxHead {
 		var piece [4 << 10]byte
 		n, err := c.Conn.Read(piece[:])
-		if n == 0 && c.stood(err) {
+		if n == 0 && c.extendDeadline(err) {
 			continue
 		}
 		c.buf = bytes.TrimLeft(append(c.buf, piece[:n]...), "\r\n")
-		if len(c.buf) > 0 && !c.heard() {
+		if len(c.buf) > 0 && !c.headBytesArrived() {
 			return errDropped
 		}
 		if full := c.holder.Grow(inflight.HeadBytes(piece[:n])); full != nil {
@@ -88,22 +88,22 @@
 			return err
 		}
 	}
-	c.taken(end)
+	c.headComplete(end)
 	return nil
 }
 
-// stood tells whether a head's time ran out while its bytes lay there unread: this process did not run, stopped or starved,
-// and to close now would reset a client that did its part. Once for each head there is a little more time.
-func (c *Conn) stood(err error) bool {
+// extendDeadline extends a head's deadline by headGrace, once, if it ended while bytes were unread: this process was paused, and
+// closing the connection would reset a client that met the limit. It reports whether it did.
+func (c *Conn) extendDeadline(err error) bool {
 	if c.late || !errors.Is(err, os.ErrDeadlineExceeded) || quiet(c.Conn) {
 		return false
 	}
 	c.late = true
-	return c.Conn.SetReadDeadline(time.Now().Add(lateTime)) == nil
+	return c.Conn.SetReadDeadline(time.Now().Add(headGrace)) == nil
 }
 
-// headEnd is the length of the head at the front of b, with its empty line; -1 if that has not come. Lines end as
-// they do for net/http: with or without a carriage return.
+// headEnd returns the length of the head at the start of b, including its empty line, or -1 if it is incomplete. As for
+// net/http, lines end with or without a carriage return.
 func headEnd(b []byte) int {
 	for at := 0; ; {
 		n := bytes.IndexByte(b[at:], '\n')
@@ -117,9 +117,9 @@
 	}
 }
 
-// taken settles how far the request goes whose head ends at end. What can't be framed goes on as it came, and
-// nothing after it: net/http refuses it.
-func (c *Conn) taken(end int) {
+// headComplete sets how much of the request is passed on whose head ends at end. A head that can't be framed is passed on as it is,
+// and nothing after it: net/http rejects it.
+func (c *Conn) headComplete(end int) {
 	body, fault, last := int64(math.MaxInt64), "", true
 	if end >= 0 {
 		body, fault = framing(c.buf[:end])
@@ -136,8 +136,8 @@
 	c.fault, c.last = fault, last
 }
 
-// framing tells how long the body is that follows a head. A request with two lengths may hide another: what one
-// side takes for its body is a request to the other. The fault tells what no server may take.
+// framing returns the length of the body that follows a head. A request with two lengths may hide another one, which one server
+// takes for a body and the next for a request. The fault is why the request must be rejected.
 func framing(head []byte) (body int64, fault string) {
 	lines := textproto.NewReader(bufio.NewReader(bytes.NewReader(head)))
 	_, err := lines.ReadLine()
@@ -166,8 +166,8 @@
 	return int64(n), ""
 }
 
-// heard notes bytes of a head; false says that the connection was closed in the meantime.
-func (c *Conn) heard() bool {
+// headBytesArrived records bytes of a head. It returns false if the connection was closed meanwhile.
+func (c *Conn) headBytesArrived() bool {
 	g := c.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -181,14 +181,14 @@
 	return !c.gone
 }
 
-// request tells what is to be known of the request that net/http has read.
+// request returns what was found in the head of the request that net/http has read, and when the request began.
 func (c *Conn) request() (fault string, last bool, began time.Time) {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
 	return c.fault, c.last, c.since
 }
 
-// answered says that an answer has gone out whole.
+// answered records that an answer is complete.
 func (c *Conn) answered() {
 	g := c.guard
 	g.mu.Lock()
@@ -198,7 +198,7 @@
 		return
 	}
 	c.holder.Settle(inflight.HeadBytes(c.buf))
-	if c.heading || c.ready > 0 { // the next request has begun to come: its time starts now
+	if c.heading || c.ready > 0 { // a part of the next request has arrived, and its time starts now
 		c.since = time.Now()
 		return
 	}
@@ -206,13 +206,13 @@
 	g.freed.Broadcast()
 }
 
-// rest puts the connection among the idle. The lock is held.
+// rest lists the connection as idle. The caller holds the lock.
 func (c *Conn) rest() {
 	c.since = time.Now()
 	c.place = c.guard.idle.PushBack(c)
 }
 
-// leave takes the connection out of the guard's books, once. The lock is held.
+// leave removes the connection from the guard, once. The caller holds the lock.
 func (c *Conn) leave() {
 	g := c.guard
 	if c.gone {
@@ -240,7 +240,7 @@
 	c.guard.drop(c)
 }
 
-// SetReadDeadline serves net.Conn.
+// SetReadDeadline implements net.Conn. An evicted connection keeps its deadline in the past.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
@@ -250,7 +250,7 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// Close serves net.Conn.
+// Close implements net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
 	c.guard.mu.Lock()
@@ -259,7 +259,7 @@
 	return err
 }
 
-// CloseWrite lets net/http end an error's connection such that the client can still read the error.
+// CloseWrite closes the sending side. net/http uses it so that the client can still read an error answer.
 func (c *Conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
@@ -267,13 +267,13 @@
 	return nil
 }
 
-// quiet tells whether nothing has come on a connection that was not read. The look takes nothing and does not wait.
+// quiet reports whether a connection is open and has no unread bytes. It consumes nothing and does not block.
 func quiet(conn net.Conn) bool {
 	is, err := peek(conn)
 	return err == nil && is == syscall.EAGAIN
 }
 
-// peek gives the error of a look at the next byte; nil says that there is one, or the end.
+// peek returns the error of peeking at the next byte, or 0 if there is one or the connection has ended.
 func peek(conn net.Conn) (syscall.Errno, error) {
 	raw, err := conn.(syscall.Conn).SyscallConn()
 	if err != nil {
--- a/internal/downstream/fresh_test.go
+++ b/internal/downstream/fresh_test.go
@@ -36,7 +36,7 @@
 			fresh = append(fresh, dial())
 		}
 		standin.Eventually(t, time.Second, "all are there", func() bool { return g.count() == len(fresh) })
-		for ahead := time.Duration(0); ahead < restTime-200*time.Millisecond; ahead += sweeps {
+		for ahead := time.Duration(0); ahead < minIdleTime-200*time.Millisecond; ahead += sweepInterval {
 			g.sweep(time.Now().Add(ahead))
 		}
 		for _, c := range fresh {
@@ -75,7 +75,7 @@
 	if g.count() != 1 {
 		t.Errorf("%d are left, the silent one should be", g.count())
 	}
-	g.sweep(time.Now().Add(restTime))
+	g.sweep(time.Now().Add(minIdleTime))
 	if n, err := silent.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("the silent one: %d, %v", n, err)
 	}
--- a/internal/downstream/guard.go
+++ b/internal/downstream/guard.go
@@ -1,6 +1,6 @@
-// Package downstream guards the router against its clients, for both fronts: how many connections there are and
-// which of them make room for others, what may pass for the head of a request, how long one may take to come and
-// how much of it is held. What gets past it is read and answered by net/http.
+// Package downstream limits clients' connections for both fronts: their number, and which is closed when there are too many; the
+// framing, the size and the duration of a request's head; and, through the account of package inflight, the memory that
+// requests hold. net/http reads and answers what passes.
 package downstream
 
 import (
@@ -17,45 +17,45 @@
 )
 
 const (
-	// headTime is how long a connection may take for its first head, comeTime how long a request may take from
-	// its first byte to its last. A client that can't be served is owed an error or a close 3 s after it connected.
-	headTime, comeTime = 2200 * time.Millisecond, 2600 * time.Millisecond
-	// lateTime is what a head gets on top whose bytes lay unread at the end of its time.
-	lateTime = 400 * time.Millisecond
-	// idleTime is how long a client may keep a connection without a request; one that is short of room lets those
-	// go that have been idle for restTime.
-	idleTime, restTime = 2 * time.Minute, 2100 * time.Millisecond
-	maxHead            = 16 << 10
-	sweeps             = 250 * time.Millisecond
-	// spareShare of the connections is for telling clients at once that no more requests are taken: one that waited in
-	// the backlog would wait past its time, of which the router knows nothing before it reads the request.
+	// headTimeout bounds the time for a request's head, requestTimeout the time from a request's first byte to its last.
+	// A client that can't be served must get an error or a close within 3 s.
+	headTimeout, requestTimeout = 2200 * time.Millisecond, 2600 * time.Millisecond
+	// headGrace extends headTimeout for a head of which bytes are unread when it ends.
+	headGrace = 400 * time.Millisecond
+	// idleTimeout bounds the time that a connection may have no request. While more than half of the places are taken, those
+	// that have been idle for minIdleTime are closed.
+	idleTimeout, minIdleTime = 2 * time.Minute, 2100 * time.Millisecond
+	maxHead                  = 16 << 10
+	sweepInterval            = 250 * time.Millisecond
+	// spareShare of the connections is kept for refusals: a client that waited in the backlog instead would wait past its
+	// deadline, which the router does not know before it reads the request.
 	spareShare = 1.0 / 16
 )
 
-// Guard keeps the clients' connections. Use New.
+// Guard limits clients' connections. Create it with New.
 type Guard struct {
 	account *inflight.Account // of what requests hold
 	most    int               // connections
 	open    int               // requests that may still be taken
 
 	mu    sync.Mutex
-	shed  bool // idle connections are closed at once: the router is being emptied
+	shed  bool // idle connections are closed at once, because the router shuts down
 	swept time.Time
 	freed *sync.Cond
 	conns map[*Conn]struct{}
 	idle  *list.List // of *Conn without an open request, the one idle for longest first
 }
 
-// New makes a guard of so many connections, whose requests are charged to the account.
+// New creates a guard that admits a number of connections and charges their requests to the account.
 func New(connections int, account *inflight.Account) *Guard {
 	g := &Guard{account: account, most: max(connections, 1), open: connections - int(spareShare*float64(connections)), conns: map[*Conn]struct{}{}, idle: list.New()}
 	g.freed = sync.NewCond(&g.mu)
 	return g
 }
 
-// Server is net/http's, on connections of this guard.
+// Server returns an HTTP server for connections of this guard's listeners.
 func (g *Guard) Server(front http.Handler, complaints *log.Logger) *http.Server {
-	return &http.Server{Handler: responseguard.Handler(check(front)), ReadHeaderTimeout: headTime, IdleTimeout: idleTime,
+	return &http.Server{Handler: responseguard.Handler(check(front)), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHead, ErrorLog: complaints,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ConnState: func(c net.Conn, state http.ConnState) {
@@ -67,20 +67,20 @@
 
 type connKey struct{}
 
-// of finds the guarded connection of a request; nil where the server is not this package's.
+// of returns the connection of a request, or nil if its server is not one of this package.
 func of(req *http.Request) *Conn {
 	c, _ := req.Context().Value(connKey{}).(*Conn)
 	return c
 }
 
-// check answers what was found wrong with a request's framing, which net/http does not show its handlers, and
-// gives every request the time in which it must have come.
+// check rejects requests whose framing is wrong, which net/http does not report to handlers, and limits the time in which a
+// request must be complete.
 func check(front http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if c := of(req); c != nil {
 			fault, last, began := c.request()
-			// Without a limit a refused request whose body never comes would be waited for.
-			if err := http.NewResponseController(w).SetReadDeadline(began.Add(comeTime)); err != nil {
+			// Without a deadline the server would wait for the body of a refused request.
+			if err := http.NewResponseController(w).SetReadDeadline(began.Add(requestTimeout)); err != nil {
 				panic(http.ErrAbortHandler) // the connection is gone
 			}
 			if last {
@@ -95,8 +95,8 @@
 	})
 }
 
-// Listen wraps a listener. With no place left the connection that has been without a request for longest makes
-// room; while all have one, clients wait in the backlog.
+// Listen wraps a listener. If all places are taken, the connection that has been idle for longest is closed; while none is idle,
+// clients wait in the backlog.
 func (g *Guard) Listen(l net.Listener) net.Listener { return &listener{l, g} }
 
 type listener struct {
@@ -104,7 +104,7 @@
 	guard *Guard
 }
 
-// Accept serves net.Listener.
+// Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
 	if err != nil {
@@ -114,7 +114,7 @@
 	c := &Conn{Conn: raw, guard: g}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for len(g.conns) >= g.most && !g.makeRoom() {
+	for len(g.conns) >= g.most && !g.closeLongestIdle() {
 		g.freed.Wait()
 	}
 	if c.holder, err = g.account.Open(true, c.evict); err != nil {
@@ -126,9 +126,9 @@
 	return c, nil
 }
 
-// makeRoom closes the connection that has been idle for longest. One with bytes that were not read yet has a
-// request: it is passed over. The lock is held.
-func (g *Guard) makeRoom() bool {
+// closeLongestIdle closes the connection that has been idle for longest, and reports whether there was one. A connection with
+// unread bytes has a request and is skipped. The caller holds the lock.
+func (g *Guard) closeLongestIdle() bool {
 	for at := g.idle.Front(); at != nil; at = at.Next() {
 		if c := at.Value.(*Conn); quiet(c.Conn) {
 			g.drop(c)
@@ -138,10 +138,10 @@
 	return false
 }
 
-// Sweep closes, until ctx ends, what takes too long: heads that do not end, and connections without a request
-// once more than half of the places are taken.
+// Sweep closes, until the context ends, connections whose head takes too long, and idle ones while more than half of the places
+// are taken.
 func (g *Guard) Sweep(ctx context.Context) {
-	every := time.NewTicker(sweeps)
+	every := time.NewTicker(sweepInterval)
 	defer every.Stop()
 	for {
 		select {
@@ -156,20 +156,20 @@
 func (g *Guard) sweep(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	// After a pause of this process readers come first: what they would read has waited for them.
-	stood := !g.swept.IsZero() && now.Sub(g.swept) > 4*sweeps
+	// After a pause of this process, bytes that arrived in time may still be unread.
+	extendDeadline := !g.swept.IsZero() && now.Sub(g.swept) > 4*sweepInterval
 	g.swept = now
 	for c := range g.conns {
-		if !stood && c.heading && !c.serving && now.Sub(c.since) > headTime {
+		if !extendDeadline && c.heading && !c.serving && now.Sub(c.since) > headTimeout {
 			g.drop(c)
 		}
 	}
 	for at := g.idle.Front(); at != nil && (g.shed || 2*len(g.conns) > g.most); {
 		c := at.Value.(*Conn)
 		at = at.Next()
-		if rested := now.Sub(c.since) >= restTime; !rested && !g.shed {
+		if rested := now.Sub(c.since) >= minIdleTime; !rested && !g.shed {
 			return
-		} else if !rested && !c.served { // its first request is on its way
+		} else if !rested && !c.served { // its first request may be in flight
 			continue
 		}
 		if quiet(c.Conn) {
@@ -178,24 +178,24 @@
 	}
 }
 
-// Shed has idle connections closed at every sweep while on: a router being emptied must keep no client's
-// connection that carries nothing, since a client would send its next request there. One with bytes unread has
-// a request on its way and is left to be answered, with the close; so has one that has just come.
+// Shed sets whether every sweep closes idle connections. A router that shuts down must keep none, because clients would send
+// their next requests there. A connection with unread bytes, or one that was just opened, has a request in flight and is closed
+// with its answer instead.
 func (g *Guard) Shed(on bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.shed = on
 }
 
-// Idle is how many connections wait for a request.
+// Idle returns how many connections have no request.
 func (g *Guard) Idle() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.idle.Len()
 }
 
-// Emptied waits until there is no connection. It is for a router that sheds, once nobody can come any more: net/http's own
-// Shutdown takes a connection for idle whose next request has come in part, and closes it in the middle of that.
+// Emptied waits until no connection is left. Call it with Shed on and the listener closed. net/http's own Shutdown would close
+// connections on which a part of the next request has arrived.
 func (g *Guard) Emptied() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -207,10 +207,10 @@
 // drop closes a connection. The lock is held.
 func (g *Guard) drop(c *Conn) {
 	c.leave()
-	_ = c.Conn.Close() // nobody waits for anything on it
+	_ = c.Conn.Close() // no answer is pending on it
 }
 
-// enter takes a request, if more may be open.
+// enter admits a request. It returns false if too many are open.
 func (g *Guard) enter() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -221,7 +221,7 @@
 	return true
 }
 
-// done gives back a request that was entered.
+// done ends a request that was admitted.
 func (g *Guard) done() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/downstream/guard_test.go
+++ b/internal/downstream/guard_test.go
@@ -291,7 +291,7 @@
 	})
 }
 
-// With more than half of the places taken those idle for restTime go, never one with a request; with fewer all stay.
+// With more than half of the places taken those idle for minIdleTime go, never one with a request; with fewer all stay.
 func TestIdleLetGo(t *testing.T) {
 	g, e, dial := serve(t, 4)
 	busy, idle := dial(), dial()
@@ -299,7 +299,7 @@
 	e.hold(hold)
 	_, _ = io.WriteString(busy, get)
 	e.entered(t)
-	for _, ahead := range []time.Duration{restTime / 2, 2 * restTime} {
+	for _, ahead := range []time.Duration{minIdleTime / 2, 2 * minIdleTime} {
 		g.sweep(time.Now().Add(ahead))
 	}
 	if n := g.count(); n != 2 {
@@ -307,11 +307,11 @@
 	}
 	dial()
 	standin.Eventually(t, time.Second, "three are there", func() bool { return g.count() == 3 })
-	g.sweep(time.Now().Add(restTime / 2))
+	g.sweep(time.Now().Add(minIdleTime / 2))
 	if n := g.count(); n != 3 {
 		t.Errorf("%d left of 3 that have just come", n)
 	}
-	g.sweep(time.Now().Add(2 * restTime))
+	g.sweep(time.Now().Add(2 * minIdleTime))
 	if _, err := idle.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("the one idle for longest: %v", err)
 	}
--- a/internal/downstream/stood_test.go
+++ b/internal/downstream/stood_test.go
@@ -86,7 +86,7 @@
 		t.Fatal(err)
 	}
 	standin.Eventually(t, time.Second, "the next has begun", func() bool { return g.Idle() == 0 })
-	for at := 3 * time.Second; at <= 7*time.Second; at += sweeps {
+	for at := 3 * time.Second; at <= 7*time.Second; at += sweepInterval {
 		g.sweep(now.Add(at))
 	}
 	if n, err := c.Read(make([]byte, 1)); n > 0 || err == nil {
--- a/internal/proxy/front/body.go
+++ b/internal/proxy/front/body.go
@@ -13,12 +13,8 @@
 	"sumacloft/internal/responseguard"
 )
 
-const (
-	// lingerTimeout is how long the input of a refused client is still read, so that the client can read the answer.
-	lingerTimeout = 500 * time.Millisecond
-	// defaultBodyBytes applies if the configuration sets no body_bytes.
-	defaultBodyBytes = 16 << 20
-)
+// defaultBodyBytes applies if the configuration sets no body_bytes.
+const defaultBodyBytes = 16 << 20
 
 // readBody reads a request's complete body, within the limits and before the deadline, and charges it to the request's
 // holder.
@@ -66,10 +62,10 @@
 	return n, err
 }
 
-// refuseBody answers a request whose body was not received completely. The request has not run.
+// refuseBody answers a request whose body was not received completely. The request has not run. Package bounds limits how long
+// the rest of the body is waited for.
 func (f *Front) refuseBody(w http.ResponseWriter, holder *inflight.Holder, err error) {
 	w.Header().Set("Connection", "close")
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTimeout)) // fails on a closed connection
 	var large *http.MaxBytesError
 	switch {
 	case errors.Is(err, inflight.ErrFull), errors.Is(err, inflight.ErrEvicted), holder.Evicted():
