inflight: one check for a lack of room, and Pin takes the lock once

The same pair of errors was tested in steering twice, in the front and in downstream; Pin and its look at the eviction were two holds of the account's lock for each write of an answer. bounds.fixed is used in its package alone.

--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -27,9 +27,9 @@
 	maxHeaderBytes = 1 << 20
 )
 
-// Fixed are the limits of servers that no configuration concerns: those for workers, operators, applications, the platform,
+// fixed are the limits of servers that no configuration concerns: those for workers, operators, applications, the platform,
 // and the other processes of the system.
-var Fixed = opconf.Limits{HeaderBytes: 16 << 10, HeaderWait: 5 * time.Second, Quiet: 60 * time.Second}
+var fixed = opconf.Limits{HeaderBytes: 16 << 10, HeaderWait: 5 * time.Second, Quiet: 60 * time.Second}
 
 // Limiter applies limits to connections. Create it with New, NewFixed or NewPreferred.
 type Limiter struct {
@@ -48,14 +48,14 @@
 	return &Limiter{account: account, limits: withDefaults(opconf.Limits{}), conns: map[*Conn]struct{}{}}
 }
 
-// NewFixed creates a limiter with the Fixed limits.
+// NewFixed creates a limiter with the fixed limits of all servers but the front's.
 func NewFixed(account *inflight.Account) *Limiter {
 	limiter := New(account)
-	limiter.limits, limiter.chargeWrites = Fixed, true
+	limiter.limits, limiter.chargeWrites = fixed, true
 	return limiter
 }
 
-// NewPreferred creates a limiter with the Fixed limits, whose connections may take the account's reserved places.
+// NewPreferred creates a limiter with the fixed limits, whose connections may take the account's reserved places.
 func NewPreferred(account *inflight.Account) *Limiter {
 	limiter := NewFixed(account)
 	limiter.preferred = true
--- a/internal/control/steering/coordination.go
+++ b/internal/control/steering/coordination.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -90,7 +89,7 @@
 func readCall(w http.ResponseWriter, request *http.Request, kind coordination.Kind, fields ...field) (coordination.Call, bool) {
 	call := coordination.Call{Kind: kind, Name: request.PathValue("id")}
 	body, err := io.ReadAll(responseguard.MaxBytesReader(w, request.Body, maxCallBytes))
-	if errors.Is(err, inflight.ErrFull) || errors.Is(err, inflight.ErrEvicted) {
+	if inflight.NoRoom(err) {
 		bounds.RefuseNoRoom(w) // nothing was done
 		return call, false
 	}
--- a/internal/control/steering/steering.go
+++ b/internal/control/steering/steering.go
@@ -63,7 +63,7 @@
 
 func (h *beatHandler) post(w http.ResponseWriter, request *http.Request) {
 	body, err := io.ReadAll(responseguard.MaxBytesReader(w, request.Body, maxBeatBytes))
-	if errors.Is(err, inflight.ErrFull) || errors.Is(err, inflight.ErrEvicted) {
+	if inflight.NoRoom(err) {
 		bounds.RefuseNoRoom(w)
 		return
 	}
--- a/internal/downstream/body.go
+++ b/internal/downstream/body.go
@@ -92,7 +92,7 @@
 	switch {
 	case errors.Is(err, inflight.ErrTooLarge):
 		return errLarge
-	case errors.Is(err, inflight.ErrFull), errors.Is(err, inflight.ErrEvicted):
+	case inflight.NoRoom(err):
 		w.Header().Set("Retry-After", "1")
 		return errNoRoom
 	}
--- a/internal/inflight/account.go
+++ b/internal/inflight/account.go
@@ -22,6 +22,9 @@
 	ErrEvicted = errors.New("inflight: the request made room for others; retry later, or raise limits.memory_mb")
 )
 
+// NoRoom reports whether an error is ErrFull or ErrEvicted: there is no room for the request, which has not run.
+func NoRoom(err error) bool { return errors.Is(err, ErrFull) || errors.Is(err, ErrEvicted) }
+
 // Cause is why a holder is evicted.
 type Cause int
 
@@ -313,13 +316,18 @@
 
 // Pin records that the request runs from now on: the holder is not evicted. It fails if the holder was evicted before.
 func (h *Holder) Pin() error {
-	h.locked(func(a *Account) {
-		h.pins++
-		a.unlist(h)
-	})
-	if h.Evicted() {
+	if h == nil {
+		return nil
+	}
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	if h.evicted {
 		return ErrEvicted
 	}
+	if !h.gone {
+		h.pins++
+		h.account.unlist(h)
+	}
 	return nil
 }
 
--- a/internal/proxy/front/body.go
+++ b/internal/proxy/front/body.go
@@ -68,7 +68,7 @@
 	w.Header().Set("Connection", "close")
 	var large *http.MaxBytesError
 	switch {
-	case errors.Is(err, inflight.ErrFull), errors.Is(err, inflight.ErrEvicted), holder.Evicted():
+	case inflight.NoRoom(err), holder.Evicted():
 		bounds.RefuseNoRoom(w)
 	case errors.As(err, &large), errors.Is(err, inflight.ErrTooLarge):
 		f.writeAnswer(w, http.StatusRequestEntityTooLarge, "the body is larger than the configured body_bytes")
