--- a/internal/overloadtest/daemon_test.go
+++ b/internal/overloadtest/daemon_test.go
@@ -130,6 +130,20 @@
 	d.withstand(crowd{2 * daemonSockets, d.listen, same(silent)})
 }
 
+// Guards against memory that a crowd leaves behind: what the next one takes would come on top.
+func TestDaemonHoldsOneCrowdAfterAnother(t *testing.T) {
+	d := newDaemon(t)
+	for _, crowd := range []crowd{
+		{daemonSockets / 2, d.listen, same(in(head("POST", "chat", chatPath, "Content-Length: 1000"), ownNames(lines), headEnd))},
+		{daemonSockets / 2, d.listen, same(in(announced("chat", chatPath, daemonBody), zeros(daemonBody-1)))},
+		{daemonSockets / 2, d.listen, same(in(chunked("chat", chatPath), chunks(daemonBody-(64<<10), 64<<10)))},
+		{daemonSockets, d.listen, same(silent)},
+		{daemonSockets / 2, d.listen, same(in(head("POST", "chat", chatPath, "Content-Length: 1000"), sameNames(lines), headEnd))},
+	} {
+		d.withstand(crowd)
+	}
+}
+
 func TestDaemonHoldsAllKindsAtOnce(t *testing.T) {
 	d := newDaemon(t)
 	d.withstand(
--- a/internal/overloadtest/front_test.go
+++ b/internal/overloadtest/front_test.go
@@ -78,6 +78,21 @@
 	f.withstand(f.request, crowd{40, f.front(), same(in(head("GET", host, busyPath+"large"), headEnd))})
 }
 
+// Guards against memory that a crowd leaves behind: what the next one takes would come on top.
+func TestFrontHoldsOneCrowdAfterAnother(t *testing.T) {
+	f := newFleet(t)
+	for _, crowd := range []crowd{
+		{40, f.front(), same(in(announced(host, busyPath+"size", bodyBytes), zeros(bodyBytes-1)))},
+		{40, f.front(), same(in(chunked(host, busyPath+"size"), chunks(bodyBytes-(64<<10), 64<<10)))},
+		{100, f.front(), same(in(head("POST", host, busyPath+"hold", "Content-Length: 1"), ownNames(lines), headEnd))},
+		{20, f.front(), same(in(head("GET", host, busyPath+"large"), headEnd))},
+		{openFiles, f.front(), same(silent)},
+		{40, f.front(), same(in(announced(host, busyPath+"size", bodyBytes), zeros(bodyBytes-1)))},
+	} {
+		f.withstand(f.request, crowd)
+	}
+}
+
 func TestFrontHoldsAllKindsAtOnce(t *testing.T) {
 	f := newFleet(t)
 	f.withstand(f.request,
--- a/internal/overloadtest/ports_test.go
+++ b/internal/overloadtest/ports_test.go
@@ -175,6 +175,25 @@
 	f.check()
 }
 
+// Guards against memory that a crowd leaves behind: what the next one takes would come on top.
+func TestPortsHoldOneCrowdAfterAnother(t *testing.T) {
+	f := newFleet(t)
+	crowds := []crowd{
+		{40, f.steering(), same(in(announced("control", orderPath, bodyBytes), zeros(bodyBytes-1)))},
+		{40, f.steering(), same(in(head("GET", "control", "/v1/Settings.Read"), ownNames(largeHead)))},
+		{openFiles, f.steering(), same(silent)},
+		{40, f.ready(), same(in(head("GET", "ready", "/v1/ready"), ownNames(largeHead)))},
+	}
+	for _, name := range []string{"control", "agent", "feed", "proxy"} {
+		crowds = append(crowds,
+			crowd{20, f.insidePorts()[name], same(in(chunked("inside", insidePaths[name]), chunks(4*bodyBytes, 64<<10)))},
+			crowd{20, f.insidePorts()[name], same(in(head("POST", "inside", insidePaths[name]), ownNames(largeHead)))})
+	}
+	for _, crowd := range crowds {
+		f.withstand(f.order, crowd)
+	}
+}
+
 func TestAllPortsHoldAllKindsAtOnce(t *testing.T) {
 	f := newFleet(t)
 	crowds := []crowd{
