bounds: a metered body has a time for the whole of it

Cause: at steering and the inside ports only pauses were limited, so a body that drips kept its connection and its place for ever. TestMeteredBodyMayNotDripForever failed before (200 s of a byte each second: the body is still read); it ends after 60 s now.

--- a/internal/bounds/body.go
+++ b/internal/bounds/body.go
@@ -42,15 +42,16 @@
 }
 
 const (
-	// bodyPause is how long a metered body may pause.
-	bodyPause = 5 * time.Second
+	// bodyPause is how long a metered body may pause, bodyTimeout how long it may take. The largest takes 20 s at 10 Mbit/s.
+	bodyPause   = 5 * time.Second
+	bodyTimeout = time.Minute
 	// meteredCopies is how many times a handler may hold the bytes of a metered body at once: it reads into a buffer that
 	// doubles, and decodes that.
 	meteredCopies = 3
 )
 
 // MeterBodies wraps a handler that reads bodies by itself. The bytes that it reads are charged, the body may not pause for
-// long, and may have at most limit bytes. A request runs once its body has been read.
+// long nor take longer than bodyTimeout, and may have at most limit bytes. A request runs once its body has been read.
 func MeterBodies(limit int64, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		holder := Holder(request)
@@ -66,7 +67,8 @@
 			return
 		}
 		limited := responseguard.MaxBytesReader(w, request.Body, limit)
-		request.Body = &meteredBody{ReadCloser: limited, request: request, holder: holder, control: http.NewResponseController(w)}
+		request.Body = &meteredBody{ReadCloser: limited, request: request, holder: holder, control: http.NewResponseController(w),
+			until: time.Now().Add(bodyTimeout)}
 		next.ServeHTTP(w, request)
 	})
 }
@@ -93,11 +95,16 @@
 	request *http.Request
 	holder  *inflight.Holder
 	control *http.ResponseController
+	until   time.Time // when the body must be complete
 }
 
 // Read implements io.Reader.
 func (b *meteredBody) Read(p []byte) (int, error) {
-	_ = b.control.SetReadDeadline(time.Now().Add(bodyPause)) // fails on a closed connection, as the read does
+	deadline := time.Now().Add(bodyPause)
+	if b.until.Before(deadline) {
+		deadline = b.until
+	}
+	_ = b.control.SetReadDeadline(deadline) // fails on a closed connection, as the read does
 	n, err := b.ReadCloser.Read(p)
 	_ = b.control.SetReadDeadline(time.Time{})
 	if full := b.holder.Grow(int64(meteredCopies * n)); n > 0 && full != nil {
