--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -22,6 +22,7 @@
 	controlPort = 8166
 	firstInside = 7720
 	lastInside  = 7735
+	proxyPort   = 4 // of the inside ports: where a proxy tells its status
 )
 
 // zones are those of the site dkd-jawa.
@@ -73,21 +74,6 @@
 	}
 }
 
-// alive tells whether the process runs.
-func (p *process) alive() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.run == nil {
-		return false
-	}
-	select {
-	case <-p.ended:
-		return false
-	default:
-		return true
-	}
-}
-
 // kill ends the process with SIGKILL and waits for its end.
 func (p *process) kill() {
 	p.signal(syscall.SIGCONT)
@@ -105,20 +91,20 @@
 	program  string
 	folder   string
 	net      string // the first three numbers of the loopback addresses
-	coord    bool
 	controls []*process
 	agents   []*process
 	proxies  []*process
-	handles  sync.Map // the request of each handle, by ADDRESS/HANDLE
+	workers  []*worker
+	once     sync.Once
 }
 
 // newFleet lays out a fleet of edges edge machines and three control members, and starts nothing.
-func newFleet(program string, edges int, coord bool) (*fleet, error) {
+func newFleet(program string, edges int) (*fleet, error) {
 	folder, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{program: program, folder: folder, coord: coord}
+	f := &fleet{program: program, folder: folder}
 	if f.net, err = freeNet(); err != nil {
 		return nil, err
 	}
@@ -175,9 +161,6 @@
 		starters = append(starters, f.control(i))
 	}
 	promises := "base,drain,config,cost,retry,recover,split,stream,engine"
-	if f.coord {
-		promises = "base,drain,config,cost,retry,recover,health,pool,coord,split,stream,engine"
-	}
 	common := fmt.Sprintf("region=jawa\nzones.jkt-a=jawa\nzones.sby-b=jawa\nzones.smg-c=jawa\ninside_ports=%d,%d\nstarters=%s\nfirst_run=%v\n"+
 		"heartbeat_ms=1200\npromises=%s\nbear.machines=1\nbear.zones=0\nbear.regions=0\nlimits.cores=1\nlimits.open_files=4100\nlimits.link_mbps=1000\n"+
 		"limits_of_rules.starter_delay_s=3\nlimits_of_rules.reuse_after_s=2\nlimits_of_rules.in_touch_ms=3000\nlimits_of_rules.answer_ms=4000\n"+
@@ -208,6 +191,19 @@
 	return nil
 }
 
+// decisions writes what the first router says of its decisions, for whoever looks for the cause. Nothing is judged by it.
+func (f *fleet) decisions(r *record) {
+	out, err := exec.Command(f.program, "status", fmt.Sprintf("%s:%d", f.edgeIP(0), firstInside+proxyPort)).CombinedOutput()
+	for line := range strings.Lines(string(out)) {
+		if strings.Contains(line, service) {
+			r.line("status", "edge 1: %s", strings.TrimSpace(line))
+		}
+	}
+	if err != nil {
+		r.line("status", "edge 1: %v", err)
+	}
+}
+
 // all lists the processes of the fleet.
 func (f *fleet) all() []*process {
 	return append(append(append([]*process(nil), f.controls...), f.agents...), f.proxies...)
@@ -224,14 +220,17 @@
 	return f.writeBoots(false)
 }
 
-// end ends all processes and removes the fleet's folder.
+// end ends all processes, once, and removes the fleet's folder.
 func (f *fleet) end() {
-	for _, p := range f.all() {
-		p.kill()
-	}
-	if os.Getenv("REVIEW_KEEP") == "" {
+	f.once.Do(func() {
+		for _, w := range f.workers {
+			w.stop()
+		}
+		for _, p := range f.all() {
+			p.kill()
+		}
 		_ = os.RemoveAll(f.folder)
-	}
+	})
 }
 
 // caller has no connections that are kept: each call is one connection.
@@ -256,21 +255,6 @@
 	return response.StatusCode, answer, err
 }
 
-// configure sends a whole configuration to one control member after the other until one acknowledges it.
-func (f *fleet) configure(builtOn string, body []byte, limit time.Duration) error {
-	end := time.Now().Add(limit)
-	last := ""
-	for turn := 0; time.Now().Before(end); turn++ {
-		status, answer, err := post(f.control(turn%len(f.controls)), "/v1/Settings.Replace", builtOn, body)
-		if err == nil && status == http.StatusOK {
-			return nil
-		}
-		last = fmt.Sprint(status, string(answer), err)
-		time.Sleep(100 * time.Millisecond)
-	}
-	return fmt.Errorf("the configuration was not acknowledged: %s", last)
-}
-
 // ready waits until an edge machine calls itself ready.
 func (f *fleet) ready(i int, limit time.Duration) error {
 	end := time.Now().Add(limit)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -1,221 +1,85 @@
-// Command standin-2 is the rig of this review's scripts: it starts a fleet of the project's own processes on loopback
-// addresses, with stand-ins of workers, clients, the operator and applications.
+// Command standin-2 plays a case of the second review: it starts a fleet of the project's own processes on loopback
+// addresses, with stand-ins of workers, clients and the operator, and writes what was sent, answered and run.
+//
+// Usage: standin-2 overload|later FLEETD FOLDER
+//
+// FLEETD is the program of the deploy file, FOLDER where record.txt is written. TROUBLE=0 in the environment leaves the
+// disruption out. Exit status: 0, the rule held; 1, it was broken; 2, the case could not run.
 package main
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net/http"
 	"os"
-	"strconv"
+	"os/signal"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
 )
 
+const (
+	held = iota
+	broken
+	couldNotRun
+)
+
+// record is the file record.txt. It is safe for concurrent use.
+type record struct {
+	mu    sync.Mutex
+	file  *os.File
+	began time.Time
+}
+
+// line writes one line with the time in seconds since the start of the case.
+func (r *record) line(what, format string, arguments ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = fmt.Fprintf(r.file, "%8.3f %-8s %s\n", time.Since(r.began).Seconds(), what, fmt.Sprintf(format, arguments...))
+}
+
+// result writes the last line, to the terminal too.
+func (r *record) result(format string, arguments ...any) {
+	text := fmt.Sprintf(format, arguments...)
+	r.line("RESULT", "%s", text)
+	fmt.Println(text)
+}
+
 func main() {
-	if len(os.Args) < 3 {
-		fmt.Fprintln(os.Stderr, "usage: standin-2 SCENARIO FLEETD")
-		os.Exit(2)
+	cases := map[string]func(*fleet, *record, bool) (int, error){"later": later, "overload": overload}
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin-2 overload|later FLEETD FOLDER")
+		os.Exit(couldNotRun)
 	}
-	if os.Args[1] == "locks" {
-		os.Exit(locks(os.Args[2]))
-	}
-	if os.Args[1] == "orders" {
-		os.Exit(orders(os.Args[2]))
-	}
-	if os.Args[1] == "probe" {
-		os.Exit(probe(os.Args[2]))
-	}
-	os.Exit(chaos(os.Args[2]))
+	os.Exit(play(cases[os.Args[1]], os.Args[2], os.Args[3]))
 }
 
-// chaos plays a while of mixed trouble.
-func chaos(program string) int {
-	length := 20
-	if n, err := strconv.Atoi(os.Getenv("LENGTH")); err == nil {
-		length = n
+// play runs the case and ends all processes that it has started.
+func play(run func(*fleet, *record, bool) (int, error), program, folder string) int {
+	file, err := os.Create(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return couldNotRun
 	}
-	f, err := newFleet(program, 3, false)
+	defer func() { _ = file.Close() }()
+	r := &record{file: file, began: time.Now()}
+	f, err := newFleet(program, 6)
 	if err != nil {
-		fmt.Println(err)
-		return 2
+		r.result("could not run: %v", err)
+		return couldNotRun
 	}
 	defer f.end()
-	if err := f.start(); err != nil {
-		fmt.Println(err)
-		return 2
-	}
-	if err := f.configure("0", configuration(1), 20*time.Second); err != nil {
-		fmt.Println(err)
-		return 2
-	}
-	b := &book{runs: map[string][]*run{}}
-	mode := os.Getenv("MODE")
-	trouble := func(request *http.Request) string {
-		if mode == "calm" || mode == "term" || rand.IntN(100) >= 12 {
-			return ""
-		}
-		return []string{"full", "broken", "mute", "extra", "dribble", "fails"}[rand.IntN(6)]
-	}
-	var workers []*worker
-	var mu sync.Mutex
-	add := func(i int, phase string) {
-		service := "model"
-		if phase == "" {
-			service = "calendar"
-		}
-		w := &worker{fleet: f, book: b, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, phase: phase, zone: zones[i%3],
-			address: fmt.Sprintf("%s:8000", f.workerIP(i)), trouble: trouble}
-		if err := w.start(); err != nil {
-			fmt.Println(err)
-			return
-		}
-		mu.Lock()
-		workers = append(workers, w)
-		mu.Unlock()
-	}
-	phases := []string{"reading", "reading", "reading", "writing", "writing", "writing", "", "", ""}
-	for i, phase := range phases {
-		add(i, phase)
-	}
-	for i := range f.proxies {
-		if err := f.ready(i, 10*time.Second); err != nil {
-			fmt.Println(err)
-			return 2
-		}
-	}
-	time.Sleep(2500 * time.Millisecond)
-	end := time.Now().Add(time.Duration(length) * time.Second)
-	done := make(chan []*sent, 1)
-	go func() { done <- load(f, 60, end, map[bool]float64{false: 0.05}[mode == "term"], 30*time.Millisecond) }()
-	restart := func() {
-		mu.Lock()
-		i := rand.IntN(len(phases))
-		address := fmt.Sprintf("%s:8000", f.workerIP(i))
-		var old *worker
-		for _, w := range workers {
-			if w.address == address && !w.ended() {
-				old = w
-			}
-		}
-		mu.Unlock()
-		if old != nil {
-			if mode == "leave" {
-				old.leave()
-				time.Sleep(time.Duration(2100+rand.IntN(1500)) * time.Millisecond)
-				_, _, _ = post(f.control(rand.IntN(3)), "/v1/Servers.Leave/"+old.id, "", []byte("{}"))
-			}
-			old.stop()
-			time.Sleep(300 * time.Millisecond)
-			add(i, phases[i])
-		}
-	}
-	disturb(f, mode, end, restart)
-	all := <-done
-	time.Sleep(3 * time.Second)
-	counts := map[string]int{}
-	for _, s := range all {
-		counts[fmt.Sprintf("%s %d %v", s.kind.name, s.status, s.whole)]++
-		if s.took > s.kind.deadline+600*time.Millisecond {
-			counts["late "+s.kind.name]++
-		}
-	}
-	fmt.Println(len(all), "requests", counts)
-	broken := judge(b, all)
-	for _, w := range workers {
-		for _, text := range w.late {
-			broken = append(broken, "DRAIN: "+text)
-		}
-	}
-	for _, s := range all {
-		for _, t := range terms {
-			if s.edge == t.edge && s.at.After(t.at) && s.at.Before(t.at.Add(9*time.Second)) && !s.left && !s.whole && len(b.runs[s.id]) > 0 {
-				fmt.Println("LOST?", s.kind.name, s.id, "sent", s.at.Sub(t.at), "after SIGTERM, took", s.took, s.status, s.failed)
-			}
-		}
-	}
-	for i, text := range broken {
-		if i < 25 {
-			fmt.Println(text)
-		}
-	}
-	fmt.Println(len(broken), "broken")
-	for _, p := range f.all() {
-		if !p.alive() {
-			fmt.Println(p.name, "has ended")
-		}
-	}
-	if len(broken) > 0 {
-		return 1
-	}
-	return 0
-}
-
-// span is a SIGTERM of an edge machine.
-type span struct {
-	edge int
-	at   time.Time
-}
-
-var terms []span
-
-// disturb makes trouble until the end.
-func disturb(f *fleet, mode string, end time.Time, restartWorker func()) {
-	for time.Now().Before(end) {
-		time.Sleep(time.Duration(300+rand.IntN(900)) * time.Millisecond)
-		if mode == "calm" || mode == "answers" {
-			continue
-		}
-		i := rand.IntN(len(f.agents))
-		if mode == "leave" {
-			go restartWorker()
-			time.Sleep(time.Second)
-			if rand.IntN(3) == 0 {
-				c := f.controls[rand.IntN(3)]
-				c.kill()
-				time.Sleep(300 * time.Millisecond)
-				_ = c.start()
-			}
-			continue
-		}
-		if mode == "term" {
-			f.proxies[i].signal(syscall.SIGTERM)
-			f.agents[i].signal(syscall.SIGTERM)
-			began := time.Now()
-			for time.Since(began) < 8*time.Second && (f.proxies[i].alive() || f.agents[i].alive()) {
-				time.Sleep(10 * time.Millisecond)
-			}
-			fmt.Println("edge", i, "ended after", time.Since(began), f.proxies[i].alive(), f.agents[i].alive())
-			terms = append(terms, span{i, began})
-			f.agents[i].kill()
-			f.proxies[i].kill()
-			_ = f.agents[i].start()
-			_ = f.proxies[i].start()
-			time.Sleep(3500 * time.Millisecond)
-			continue
-		}
-		switch rand.IntN(6) {
-		case 0:
-			f.agents[i].kill()
-			time.Sleep(200 * time.Millisecond)
-			_ = f.agents[i].start()
-		case 1:
-			f.proxies[i].kill()
-			time.Sleep(200 * time.Millisecond)
-			_ = f.proxies[i].start()
-		case 2:
-			p := []*process{f.agents[i], f.proxies[i], f.controls[i%3]}[rand.IntN(3)]
-			p.signal(syscall.SIGSTOP)
-			time.Sleep(time.Duration(200+rand.IntN(3000)) * time.Millisecond)
-			p.signal(syscall.SIGCONT)
-		case 3:
-			c := f.controls[rand.IntN(3)]
-			c.kill()
-			time.Sleep(300 * time.Millisecond)
-			_ = c.start()
-		case 4, 5:
-			restartWorker()
-		}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-ended
+		f.end()
+		os.Exit(couldNotRun)
+	}()
+	status, err := run(f, r, os.Getenv("TROUBLE") != "0")
+	f.decisions(r)
+	if err != nil {
+		r.result("could not run: %v", err)
+		return couldNotRun
 	}
+	return status
 }
